Run the whole path on the users' platform through an adapter

Cause: the product knew no host and prefix routes, no backend servers of other zones, and only its own store protocol.

Change: packages gateway (decisions without I/O) and edge (event loops on Asio and Beast), platform/ (translation only), settings by shared rules, deploy/.

No test yet for the new packages.

--- a/packages/control/src/store.h
+++ b/packages/control/src/store.h
@@ -25,6 +25,8 @@
   std::string prefix;
   std::string first;
   int limit = 100;
+  std::string after =
+      {};  ///< If not empty: begin behind this key, not at `first`.
 };
 
 /// \brief Writes a key if its last revision is the expected one.
@@ -44,6 +46,11 @@
   uint64_t lease = 0;
 };
 
+/// \brief Ends a lease and removes its keys.
+struct StoreLeaseEnd {
+  uint64_t lease = 0;
+};
+
 /// \brief Waits for a write above `after_revision` to a key of the prefix.
 struct StoreWatch {
   std::string prefix;
@@ -56,6 +63,7 @@
                                   StoreCompareAndSwap,
                                   StoreLeaseGrant,
                                   StoreLeaseKeepAlive,
+                                  StoreLeaseEnd,
                                   StoreWatch>;
 
 struct StoreCall {
@@ -74,6 +82,8 @@
   kOk,
   kConflict,  ///< The compare failed; `key_values` has the present one, if any.
   kNotFound,
+  kHistoryGone,  ///< A watch asks for changes that the store has forgotten.
+  kRefused,      ///< The store says that it did nothing.
   /// No answer came: a write may or may not have taken effect.
   kUnknown,
 };
@@ -82,7 +92,8 @@
   StoreCallId id = 0;
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreKeyValue> key_values;
-  int64_t revision = 0;  ///< Of the store when it answered.
+  bool has_more = false;  ///< A range has further keys behind these.
+  int64_t revision = 0;   ///< Of the store when it answered.
   uint64_t lease = 0;
 };
 
--- a/packages/daemon/baobabwalld_main.cc
+++ b/packages/daemon/baobabwalld_main.cc
@@ -13,11 +13,18 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "daemon/daemon.h"
+#include "edge/edge.h"
 #include "glog/logging.h"
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of the process");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
+ABSL_FLAG(
+    bool,
+    gateway,
+    false,
+    "run on the operators' platform; the settings are those of a gateway");
 
 namespace baobabwall::daemon {
 namespace internal {
@@ -243,11 +250,16 @@
 
 int Main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
-      "Entry instance of baobabwall.\nusage: baobabwalld --settings=FILE");
+      "Entry instance of baobabwall.\n"
+      "usage: baobabwalld [--gateway] --settings=FILE [--check]");
   absl::ParseCommandLine(argc, argv);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   const std::string file = absl::GetFlag(FLAGS_settings);
+  if (absl::GetFlag(FLAGS_gateway)) {
+    return edge::RunGateway(file, absl::GetFlag(FLAGS_check),
+                            platform::PlatformDialect());
+  }
   std::ifstream stream(file);
   if (!stream) {
     std::cerr << "cannot read the settings file '" << file << "'\n";
--- /dev/null
+++ b/packages/edge/src/asio_impl.cc
@@ -0,0 +1,3 @@
+// Compiles the bodies of Asio and Beast once for the whole program.
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/packages/edge/src/http_message.cc
@@ -0,0 +1,26 @@
+#include "edge/src/http_message.h"
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <string>
+#include <vector>
+
+namespace baobabwall::edge {
+
+void RemoveConnectionHeaders(http::fields* headers) {
+  std::vector<std::string> named;
+  for (const auto& token :
+       http::token_list((*headers)[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (const std::string& name : named) {
+    headers->erase(name);
+  }
+  for (const http::field field :
+       {http::field::connection, http::field::keep_alive,
+        http::field::proxy_connection, http::field::te, http::field::trailer,
+        http::field::transfer_encoding, http::field::upgrade}) {
+    headers->erase(field);
+  }
+}
+
+}  // namespace baobabwall::edge
--- /dev/null
+++ b/packages/edge/src/peer_channel.cc
@@ -0,0 +1,71 @@
+#include "edge/src/peer_channel.h"
+
+#include <optional>
+#include <utility>
+
+#include "glog/logging.h"
+
+namespace baobabwall::edge {
+
+using boost::system::error_code;
+
+PeerChannel::PeerChannel(asio::io_context* io, OnHeartbeat on_heartbeat)
+    : on_heartbeat_(std::move(on_heartbeat)), socket_(*io) {}
+
+bool PeerChannel::Open(const gateway::Endpoint& address) {
+  const auto endpoint = ToAsio<udp>(address);
+  error_code error;
+  if (endpoint) {
+    socket_.open(endpoint->protocol(), error);
+  }
+  if (endpoint && !error) {
+    socket_.bind(*endpoint, error);
+  }
+  if (!endpoint || error) {
+    LOG(ERROR) << "peer: cannot open address=" << address.address << ":"
+               << address.port << " error=" << error.message();
+    return false;
+  }
+  socket_.non_blocking(true, error);
+  Receive();
+  return true;
+}
+
+void PeerChannel::Receive() {
+  socket_.async_receive_from(
+      asio::buffer(buffer_), sender_, [this](error_code error, size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          const auto heartbeat = gateway::Heartbeat::Decode(
+              absl::MakeConstSpan(buffer_.data(), size));
+          if (heartbeat) {
+            on_heartbeat_(*heartbeat);
+          } else {
+            LOG_EVERY_N(WARNING, 100)
+                << "peer: unreadable datagram bytes=" << size;
+          }
+        }
+        Receive();
+      });
+}
+
+void PeerChannel::Send(const gateway::Heartbeat& heartbeat,
+                       absl::Span<const gateway::Endpoint> peers) {
+  if (peers.empty()) {
+    return;
+  }
+  const std::vector<uint8_t> bytes = heartbeat.Encode();
+  for (const gateway::Endpoint& peer : peers) {
+    const auto endpoint = ToAsio<udp>(peer);
+    if (!endpoint) {
+      continue;
+    }
+    // A lost heartbeat is made good by the next one.
+    error_code ignored;
+    socket_.send_to(asio::buffer(bytes), *endpoint, 0, ignored);
+  }
+}
+
+}  // namespace baobabwall::edge
--- /dev/null
+++ b/packages/edge/src/store_link.cc
@@ -0,0 +1,143 @@
+#include "edge/src/store_link.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "edge/src/socket_options.h"
+#include "glog/logging.h"
+
+namespace baobabwall::edge {
+
+using boost::system::error_code;
+
+/// One call: connection, request, answer, or the end of its time.
+class StoreLink::Exchange
+    : public std::enable_shared_from_this<StoreLink::Exchange> {
+ public:
+  /// A page of the store is at most 1 MB, and a value as much again in base64.
+  static constexpr uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
+
+  Exchange(StoreLink* link, control::StoreCall call)
+      : link_(link),
+        call_(std::move(call)),
+        socket_(*link->io_),
+        timer_(*link->io_) {}
+
+  void Run() {
+    request_ = link_->dialect_->store_request(call_.request);
+    const auto* watch = std::get_if<control::StoreWatch>(&call_.request);
+    const absl::Duration timeout =
+        watch == nullptr ? kSlowAnswerTimeout : watch->timeout + kAnswerTimeout;
+    timer_.expires_after(
+        std::chrono::milliseconds(absl::ToInt64Milliseconds(timeout)));
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+      if (!error) {
+        self->Fail("timeout");
+      }
+    });
+    if (!link_->idle_.empty()) {
+      socket_ = std::move(link_->idle_.back());
+      link_->idle_.pop_back();
+      Send();
+      return;
+    }
+    const auto endpoint = ToAsio<tcp>(link_->store_);
+    if (!endpoint) {
+      asio::post(*link_->io_,
+                 [self = shared_from_this()] { self->Fail("bad address"); });
+      return;
+    }
+    socket_.async_connect(*endpoint,
+                          [self = shared_from_this()](error_code error) {
+                            if (error) {
+                              self->Fail(error.message());
+                              return;
+                            }
+                            SetStreamOptions(&self->socket_);
+                            self->Send();
+                          });
+  }
+
+ private:
+  void Send() {
+    http::async_write(socket_, request_,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (error) {
+                          self->Fail(error.message());
+                        }
+                      });
+    parser_.body_limit(kMaxAnswerBytes);
+    http::async_read(socket_, buffer_, parser_,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       self->OnAnswer(error);
+                     });
+  }
+
+  void OnAnswer(error_code error) {
+    if (is_over_) {
+      return;
+    }
+    if (error) {
+      Fail(error.message());
+      return;
+    }
+    const HttpResponse answer = parser_.release();
+    if (answer.keep_alive() && buffer_.size() == 0) {
+      link_->idle_.push_back(std::move(socket_));
+    }
+    control::StoreAnswer decoded =
+        link_->dialect_->store_answer(call_.request, answer);
+    Finish(std::move(decoded));
+  }
+
+  void Fail(const std::string& error) {
+    if (is_over_) {
+      return;
+    }
+    LOG_EVERY_N(WARNING, 20) << "store: call failed error=" << error;
+    error_code ignored;  // The connection is given up either way.
+    socket_.close(ignored);
+    // Other kept connections are likely to be as dead.
+    link_->idle_.clear();
+    Finish({});
+  }
+
+  void Finish(control::StoreAnswer answer) {
+    is_over_ = true;
+    timer_.cancel();
+    answer.id = call_.id;
+    link_->done_(std::move(answer));
+  }
+
+  StoreLink* link_;
+  control::StoreCall call_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  HttpRequest request_;
+  boost::beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  bool is_over_ = false;
+};
+
+StoreLink::StoreLink(asio::io_context* io,
+                     const Dialect* dialect,
+                     gateway::Endpoint store,
+                     Done done)
+    : io_(io),
+      dialect_(dialect),
+      store_(std::move(store)),
+      done_(std::move(done)) {}
+
+StoreLink::~StoreLink() = default;
+
+void StoreLink::Call(control::StoreCall call) {
+  std::make_shared<Exchange>(this, std::move(call))->Run();
+}
+
+}  // namespace baobabwall::edge
--- /dev/null
+++ b/packages/gateway/src/backend_registry.cc
@@ -0,0 +1,136 @@
+#include "gateway/src/backend_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace baobabwall::gateway {
+
+void BackendRegistry::OnStoreReturn(absl::Time now) {
+  store_returned_ = now;
+}
+
+void BackendRegistry::OnConfig(std::shared_ptr<const RoutingConfig> config) {
+  config_ = std::move(config);
+}
+
+absl::Duration BackendRegistry::WarmupOf(const BackendServer& server) const {
+  const ServiceSpec* service =
+      config_ == nullptr ? nullptr : config_->FindService(server.service);
+  return service == nullptr ? absl::ZeroDuration() : service->warmup;
+}
+
+bool BackendRegistry::IsNearOutage(absl::Time now) const {
+  return now - store_returned_ < kOutageGrace;
+}
+
+void BackendRegistry::OnEntry(BackendServer server,
+                              bool is_start,
+                              absl::Time now) {
+  const auto known = entries_.find(server.id);
+  const bool is_known = known != entries_.end();
+  if (is_known && server.incarnation < known->second.server.incarnation) {
+    return;
+  }
+  const bool is_new_incarnation =
+      !is_known || server.incarnation != known->second.server.incarnation;
+  if (is_known && !is_new_incarnation) {
+    server.cold_until =
+        std::max(server.cold_until, known->second.server.cold_until);
+  } else if (!is_start && !server.is_draining) {
+    server.cold_until = std::max(server.cold_until, now + WarmupOf(server));
+  }
+  std::string id = server.id;
+  entries_[std::move(id)] = Entry{std::move(server)};
+  is_changed_ = true;
+}
+
+void BackendRegistry::OnRemoved(absl::string_view id, absl::Time now) {
+  const auto known = entries_.find(id);
+  if (known == entries_.end()) {
+    return;
+  }
+  if (IsNearOutage(now) && !known->second.server.is_draining) {
+    known->second.removed_at = std::min(known->second.removed_at, now);
+    return;
+  }
+  entries_.erase(known);
+  is_changed_ = true;
+}
+
+void BackendRegistry::OnCompleteRead(const std::set<std::string>& ids,
+                                     absl::Time now) {
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : entries_) {
+    if (ids.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    OnRemoved(id, now);
+  }
+}
+
+void BackendRegistry::OnEvacuation(absl::string_view zone,
+                                   bool is_evacuated,
+                                   absl::Time now) {
+  const auto known = evacuated_.find(zone);
+  if (is_evacuated == (known != evacuated_.end())) {
+    return;
+  }
+  is_changed_ = true;
+  if (is_evacuated) {
+    evacuated_.emplace(zone);
+    return;
+  }
+  evacuated_.erase(known);
+  // The zone's servers have been idle: they may have cooled down.
+  for (auto& [id, entry] : entries_) {
+    if (entry.server.zone != zone) {
+      continue;
+    }
+    entry.server.cold_until =
+        std::max(entry.server.cold_until, now + WarmupOf(entry.server));
+  }
+}
+
+void BackendRegistry::OnEvacuations(const std::set<std::string>& zones,
+                                    absl::Time now) {
+  const std::set<std::string, std::less<>> before = evacuated_;
+  for (const std::string& zone : before) {
+    if (zones.count(zone) == 0) {
+      OnEvacuation(zone, false, now);
+    }
+  }
+  for (const std::string& zone : zones) {
+    OnEvacuation(zone, true, now);
+  }
+}
+
+void BackendRegistry::OnTick(absl::Time now) {
+  if (IsNearOutage(now)) {
+    return;
+  }
+  for (auto entry = entries_.begin(); entry != entries_.end();) {
+    if (entry->second.removed_at == absl::InfiniteFuture()) {
+      ++entry;
+      continue;
+    }
+    entry = entries_.erase(entry);
+    is_changed_ = true;
+  }
+}
+
+bool BackendRegistry::TakeChanged() {
+  return std::exchange(is_changed_, false);
+}
+
+std::shared_ptr<const BackendSet> BackendRegistry::Publish() const {
+  auto set = std::make_shared<BackendSet>();
+  for (const auto& [id, entry] : entries_) {
+    set->servers.emplace(id, entry.server);
+  }
+  set->evacuated_zones = evacuated_;
+  return set;
+}
+
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_control.cc
@@ -0,0 +1,179 @@
+#include "gateway/src/gateway_control.h"
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace baobabwall::gateway {
+namespace internal {
+
+// Seeds of parts that must not draw the same numbers.
+constexpr uint64_t kReaderSeed = 1;
+constexpr uint64_t kRegistrationSeed = 2;
+
+}  // namespace internal
+
+GatewayControl::GatewayControl(InstanceRecord self, uint64_t seed, Hooks hooks)
+    : self_(std::move(self)),
+      hooks_(std::move(hooks)),
+      reader_("",
+              seed + internal::kReaderSeed,
+              {[this](const control::StoreKeyValue& item, bool is_complete) {
+                 Apply(item, is_complete);
+               },
+               [this](const std::vector<std::string>& keys) {
+                 EndCompleteRead(keys);
+               },
+               [this] { hooks_.log("store: lost"); },
+               [this] {
+                 registry_.OnStoreReturn(now_);
+                 hooks_.log("store: returned");
+               }}),
+      registration_(self_, seed + internal::kRegistrationSeed) {}
+
+void GatewayControl::Call(Caller caller, control::StoreRequest request) {
+  control::StoreCall call;
+  call.id = ++last_call_;
+  call.request = std::move(request);
+  calls_.emplace(call.id, caller);
+  hooks_.call_store(std::move(call));
+}
+
+void GatewayControl::OnTick(absl::Time now) {
+  now_ = now;
+  if (auto call = registration_.NextCall(now)) {
+    Call(Caller::kRegistration, std::move(*call));
+  }
+  if (auto call = reader_.NextCall(now)) {
+    Call(Caller::kReader, std::move(*call));
+  }
+  registry_.OnTick(now);
+  PublishIfChanged();
+}
+
+void GatewayControl::OnStoreAnswer(const control::StoreAnswer& answer,
+                                   absl::Time now) {
+  now_ = now;
+  const auto call = calls_.find(answer.id);
+  if (call == calls_.end()) {
+    return;
+  }
+  const Caller caller = call->second;
+  calls_.erase(call);
+  if (caller == Caller::kReader) {
+    reader_.OnAnswer(answer, now);
+  } else if (caller == Caller::kRegistration) {
+    registration_.OnAnswer(answer, now);
+    const bool is_reachable = answer.status != control::StoreStatus::kUnknown &&
+                              answer.status != control::StoreStatus::kRefused;
+    reader_.OnStoreSeen(is_reachable, now);
+  }
+  OnTick(now);
+}
+
+void GatewayControl::Apply(const control::StoreKeyValue& item,
+                           bool is_complete_read) {
+  std::optional<StateChange> change = hooks_.decode(item);
+  if (!change) {
+    return;
+  }
+  if (const auto* config = std::get_if<ConfigWritten>(&*change)) {
+    ApplyConfig(*config);
+  } else if (const auto* written = std::get_if<BackendWritten>(&*change)) {
+    if (is_complete_read) {
+      read_servers_.insert(written->server.id);
+    }
+    registry_.OnEntry(written->server, is_complete_read && !was_read_, now_);
+  } else if (const auto* removed = std::get_if<BackendRemoved>(&*change)) {
+    registry_.OnRemoved(removed->id, now_);
+  } else if (const auto* zone = std::get_if<EvacuationChanged>(&*change)) {
+    if (is_complete_read) {
+      read_zones_.insert(zone->zone);
+    }
+    registry_.OnEvacuation(zone->zone, zone->is_evacuated, now_);
+    hooks_.log(absl::StrCat("registry: evacuation zone=", zone->zone,
+                            " active=", zone->is_evacuated,
+                            " revision=", item.revision));
+  } else if (const auto* instance = std::get_if<InstanceWritten>(&*change)) {
+    ApplyInstance(*instance);
+  } else if (const auto* gone = std::get_if<InstanceRemoved>(&*change)) {
+    is_changed_ = instances_.erase(gone->key) > 0 || is_changed_;
+    if (gone->key == self_.Key()) {
+      registration_.OnRecordRemoved(now_);
+    }
+  } else if (const auto* crash = std::get_if<CrashReported>(&*change)) {
+    is_changed_ = crashes_.insert(crash->fingerprint).second || is_changed_;
+  }
+}
+
+void GatewayControl::ApplyConfig(const ConfigWritten& change) {
+  // A version once in force is never taken back, whatever a late read says.
+  if (config_ != nullptr && change.config->version() <= config_->version()) {
+    return;
+  }
+  config_ = change.config;
+  registry_.OnConfig(config_);
+  is_changed_ = true;
+  hooks_.log(absl::StrCat("config: in force version=", config_->version(),
+                          " routes=", config_->route_count()));
+}
+
+void GatewayControl::ApplyInstance(const InstanceWritten& change) {
+  instances_[change.instance.Key()] = change.instance;
+  is_changed_ = true;
+}
+
+void GatewayControl::EndCompleteRead(const std::vector<std::string>& keys) {
+  registry_.OnCompleteRead(read_servers_, now_);
+  registry_.OnEvacuations(read_zones_, now_);
+  const std::set<std::string> present(keys.begin(), keys.end());
+  for (auto known = instances_.begin(); known != instances_.end();) {
+    const bool is_there = present.count(known->first) > 0;
+    known = is_there ? std::next(known) : instances_.erase(known);
+  }
+  if (registration_.is_registered() && present.count(self_.Key()) == 0) {
+    registration_.OnRecordRemoved(now_);
+  }
+  read_servers_.clear();
+  read_zones_.clear();
+  was_read_ = true;
+  is_changed_ = true;
+  hooks_.log(absl::StrCat("store: read keys=", keys.size(),
+                          " revision=", reader_.revision()));
+}
+
+void GatewayControl::PublishIfChanged() {
+  const bool is_registry_changed = registry_.TakeChanged();
+  if (!reader_.is_read() || (!is_registry_changed && !is_changed_)) {
+    return;
+  }
+  is_changed_ = false;
+  auto view = std::make_shared<ControlView>();
+  view->config = config_;
+  view->backends = registry_.Publish();
+  for (const auto& [key, record] : instances_) {
+    view->instances.push_back(record);
+  }
+  view->crashing_requests = crashes_;
+  hooks_.publish(std::move(view));
+}
+
+void GatewayControl::ReportCrash(uint64_t fingerprint, absl::Time now) {
+  now_ = now;
+  if (!crashes_.insert(fingerprint).second) {
+    return;
+  }
+  is_changed_ = true;
+  control::StoreCompareAndSwap put;
+  put.key = absl::StrCat(kCrashPrefix, absl::Hex(fingerprint));
+  put.value = self_.name;
+  Call(Caller::kCrashReport, std::move(put));
+}
+
+void GatewayControl::Leave(absl::Time now) {
+  registration_.Leave(now);
+  OnTick(now);
+}
+
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/packages/gateway/src/peer_table.cc
@@ -0,0 +1,100 @@
+#include "gateway/src/peer_table.h"
+
+#include <set>
+
+namespace baobabwall::gateway {
+
+void PeerTable::SetRecords(const std::vector<InstanceRecord>& records,
+                           absl::Time now) {
+  std::map<std::string, const InstanceRecord*> newest;
+  for (const InstanceRecord& record : records) {
+    if (record.name == self_) {
+      continue;
+    }
+    const InstanceRecord*& known = newest[record.name];
+    if (known == nullptr || known->incarnation < record.incarnation) {
+      known = &record;
+    }
+  }
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    // A record may lapse while the store is away: who is heard stays.
+    const bool stays =
+        newest.count(peer->first) > 0 || now - peer->second.heard < kSilence;
+    peer = stays ? std::next(peer) : peers_.erase(peer);
+  }
+  for (const auto& [name, record] : newest) {
+    Peer& peer = peers_[name];
+    if (peer.record.incarnation < record->incarnation) {
+      peer = Peer{};
+      peer.announced = now;
+    }
+    peer.record = *record;
+  }
+}
+
+bool PeerTable::OnHeartbeat(const Heartbeat& heartbeat, absl::Time now) {
+  const auto found = peers_.find(heartbeat.instance);
+  if (found == peers_.end()) {
+    return false;
+  }
+  Peer& peer = found->second;
+  const bool is_old = heartbeat.incarnation < peer.record.incarnation ||
+                      (heartbeat.incarnation == peer.last.incarnation &&
+                       heartbeat.sequence <= peer.last.sequence);
+  if (is_old) {
+    return false;
+  }
+  peer.last = heartbeat;
+  peer.heard = now;
+  return true;
+}
+
+bool PeerTable::IsLive(const Peer& peer, absl::Time now) const {
+  if (peer.heard == absl::InfinitePast()) {
+    return now - peer.announced < kFirstHeartbeat;
+  }
+  return now - peer.heard < kSilence && peer.last.is_ready &&
+         !peer.last.is_leaving;
+}
+
+std::vector<InstanceRecord> PeerTable::Live(absl::Time now) const {
+  std::vector<InstanceRecord> live;
+  for (const auto& [name, peer] : peers_) {
+    if (IsLive(peer, now)) {
+      live.push_back(peer.record);
+    }
+  }
+  return live;
+}
+
+std::vector<Endpoint> PeerTable::DueHeartbeats(bool is_active, absl::Time now) {
+  std::vector<Endpoint> due;
+  for (auto& [name, peer] : peers_) {
+    absl::Duration interval = kIdleInterval;
+    if (is_active && (peer.last.is_active || peer.last.sequence == 0)) {
+      interval =
+          peer.record.region == own_region_ ? kActiveInterval : kRemoteInterval;
+    }
+    if (now - peer.sent < interval) {
+      continue;
+    }
+    peer.sent = now;
+    due.push_back({peer.record.callers.address, peer.record.peer_port});
+  }
+  return due;
+}
+
+absl::flat_hash_map<uint32_t, int> PeerTable::Loads(absl::Time now) const {
+  absl::flat_hash_map<uint32_t, int> loads;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > kLoadAge) {
+      continue;
+    }
+    for (const auto& [server, in_flight] : peer.last.loads) {
+      loads[server] += in_flight;
+    }
+  }
+  return loads;
+}
+
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/packages/gateway/src/routing_config.cc
@@ -0,0 +1,74 @@
+#include "gateway/src/routing_config.h"
+
+#include <utility>
+
+#include "absl/strings/ascii.h"
+
+namespace baobabwall::gateway {
+
+RoutingConfig::Builder& RoutingConfig::Builder::Version(int64_t version) {
+  config_->version_ = version;
+  return *this;
+}
+
+RoutingConfig::Builder& RoutingConfig::Builder::Limits(RequestLimits limits) {
+  config_->limits_ = limits;
+  return *this;
+}
+
+RoutingConfig::Builder& RoutingConfig::Builder::AddService(
+    ServiceSpec service) {
+  std::string name = service.name;
+  config_->services_.insert_or_assign(std::move(name), std::move(service));
+  return *this;
+}
+
+RoutingConfig::Builder& RoutingConfig::Builder::AddRoute(absl::string_view host,
+                                                         Route route) {
+  std::string prefix = route.prefix;
+  config_->hosts_[absl::AsciiStrToLower(host)].insert_or_assign(
+      std::move(prefix), std::move(route));
+  ++config_->route_count_;
+  return *this;
+}
+
+std::shared_ptr<const RoutingConfig> RoutingConfig::Builder::Build() {
+  return std::exchange(config_, std::make_shared<RoutingConfig>());
+}
+
+const Route* RoutingConfig::FindRoute(absl::string_view host,
+                                      absl::string_view path) const {
+  const auto routes = hosts_.find(absl::AsciiStrToLower(host));
+  if (routes == hosts_.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only those ends of the path can match.
+  size_t end = path.rfind('/');
+  while (end != absl::string_view::npos) {
+    const auto route = routes->second.find(path.substr(0, end + 1));
+    if (route != routes->second.end()) {
+      return &route->second;
+    }
+    if (end == 0) {
+      break;
+    }
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+void RoutingConfig::ForEachRoute(
+    const std::function<void(const Route&)>& visit) const {
+  for (const auto& [host, routes] : hosts_) {
+    for (const auto& [prefix, route] : routes) {
+      visit(route);
+    }
+  }
+}
+
+const ServiceSpec* RoutingConfig::FindService(absl::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/packages/gateway/src/state_change.h
@@ -0,0 +1,59 @@
+#ifndef GATEWAY_SRC_STATE_CHANGE_H_
+#define GATEWAY_SRC_STATE_CHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "gateway/src/backend_server.h"
+#include "gateway/src/instance_record.h"
+#include "gateway/src/routing_config.h"
+
+namespace baobabwall::gateway {
+
+/// \brief The operators wrote a configuration.
+struct ConfigWritten {
+  std::shared_ptr<const RoutingConfig> config;
+};
+
+struct BackendWritten {
+  BackendServer server;
+};
+
+/// \brief An entry of a backend server was removed or can't be read.
+struct BackendRemoved {
+  std::string id;
+};
+
+struct EvacuationChanged {
+  std::string zone;
+  bool is_evacuated = false;
+};
+
+struct InstanceWritten {
+  InstanceRecord instance;
+};
+
+struct InstanceRemoved {
+  std::string key;  ///< Its key in the store.
+};
+
+/// \brief A request that crashes backend servers was reported.
+struct CrashReported {
+  uint64_t fingerprint = 0;
+};
+
+/// \brief One change of the shared state, as read from the store.
+using StateChange = std::variant<ConfigWritten,
+                                 BackendWritten,
+                                 BackendRemoved,
+                                 EvacuationChanged,
+                                 InstanceWritten,
+                                 InstanceRemoved,
+                                 CrashReported>;
+
+}  // namespace baobabwall::gateway
+
+#endif  // GATEWAY_SRC_STATE_CHANGE_H_
--- /dev/null
+++ b/packages/gateway/src/state_reader.h
@@ -0,0 +1,78 @@
+#ifndef GATEWAY_SRC_STATE_READER_H_
+#define GATEWAY_SRC_STATE_READER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/base.h"
+#include "control/control.h"
+
+namespace baobabwall::gateway {
+
+/// \brief Reads all keys of a prefix and follows their changes.
+///
+/// A read of all keys, then one pending watch. What the store has forgotten is
+/// read anew. No I/O: calls come out, answers go in.
+class StateReader {
+ public:
+  /// Longest time that a watch waits at the store.
+  static constexpr absl::Duration kWatch = absl::Seconds(25);
+  /// Changes that come close together are read by one call.
+  static constexpr absl::Duration kGather = absl::Milliseconds(150);
+  static constexpr absl::Duration kFirstRetry = absl::Milliseconds(300);
+  static constexpr absl::Duration kLongestRetry = absl::Seconds(1);
+  /// Keys of one page.
+  static constexpr int kPage = 500;
+
+  struct Hooks {
+    std::function<void(const control::StoreKeyValue&, bool is_complete_read)>
+        on_change;
+    /// A complete read ended; receives all keys that exist.
+    std::function<void(const std::vector<std::string>& keys)> on_complete_read;
+    std::function<void()> on_store_lost;
+    std::function<void()> on_store_returned;
+  };
+
+  StateReader(std::string prefix, uint64_t seed, Hooks hooks);
+
+  /// \returns the call that is due now, without its id; none if one is pending
+  /// or none is due.
+  std::optional<control::StoreRequest> NextCall(absl::Time now);
+
+  void OnAnswer(const control::StoreAnswer& answer, absl::Time now);
+
+  /// \brief Another call has shown that the store is away or back.
+  void OnStoreSeen(bool is_reachable, absl::Time now);
+
+  /// \returns true once all keys have been read.
+  bool is_read() const { return is_read_; }
+  bool is_store_lost() const { return is_lost_; }
+  int64_t revision() const { return revision_; }
+
+ private:
+  enum class State { kReading, kWatching };
+
+  void OnPage(const control::StoreAnswer& answer, absl::Time now);
+  void OnEvents(const control::StoreAnswer& answer, absl::Time now);
+  void SetLost(bool is_lost);
+
+  std::string prefix_;
+  base::Random random_;
+  Hooks hooks_;
+  control::Backoff backoff_;
+  State state_ = State::kReading;
+  bool is_pending_ = false;
+  bool is_read_ = false;
+  bool is_lost_ = false;
+  absl::Time due_ = absl::InfinitePast();
+  int64_t revision_ = 0;       ///< Changes up to it are known.
+  int64_t page_revision_ = 0;  ///< Of the first page of a read.
+  std::vector<std::string> keys_;
+};
+
+}  // namespace baobabwall::gateway
+
+#endif  // GATEWAY_SRC_STATE_READER_H_
--- /dev/null
+++ b/packages/gateway/src/steering.cc
@@ -0,0 +1,464 @@
+#include "gateway/src/steering.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace baobabwall::gateway {
+namespace internal {
+
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpServerError = 500;
+constexpr int kHttpBadGateway = 502;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
+
+/// Without requests for this long an instance counts as idle.
+constexpr absl::Duration kActiveMemory = absl::Seconds(3);
+
+/// A caller that was refused waits less from then on; other callers all say
+/// nearly the same.
+constexpr double kReturnPart = 0.97;
+
+/// Longest time for requests whose caller tells none.
+constexpr absl::Duration kNoDeadline = absl::Seconds(30);
+
+}  // namespace internal
+
+Steering::Steering(ZoneMap* zones, std::string self, uint64_t seed, Hooks hooks)
+    : zones_(zones),
+      random_(seed),
+      hooks_(std::move(hooks)),
+      balancer_(zones, std::move(self)) {}
+
+void Steering::SetConfig(std::shared_ptr<const RoutingConfig> config) {
+  config_ = std::move(config);
+  balancer_.SetConfig(config_);
+  split_.Clear();
+}
+
+void Steering::SetBackends(const BackendSet& set) {
+  balancer_.SetBackends(set);
+}
+
+void Steering::SetInstances(std::vector<InstanceRecord> instances) {
+  retries_.SetInstances(static_cast<int>(instances.size()));
+  balancer_.SetInstances(std::move(instances));
+}
+
+void Steering::OnCrashReport(uint64_t fingerprint, absl::Time now) {
+  suspects_.Publish({{fingerprint, now + steer::CrashSuspects::kQuarantine}});
+}
+
+bool Steering::IsActive(absl::Time now) const {
+  return now - last_request_ < internal::kActiveMemory;
+}
+
+SteeringActions Steering::OnRequest(CallerRequest caller, absl::Time now) {
+  SteeringActions actions;
+  last_request_ = now;
+  auto owned = std::make_unique<Request>();
+  Request* request = owned.get();
+  const RequestId id = caller.id;
+  request->caller = std::move(caller);
+  request->config = config_;
+  requests_.emplace(id, std::move(owned));
+  if (config_ == nullptr) {
+    GiveUp(request, internal::kHttpUnavailable, "no-configuration", now,
+           &actions);
+    return actions;
+  }
+  request->route =
+      config_->FindRoute(request->caller.host, request->caller.path);
+  if (request->route == nullptr) {
+    GiveUp(request, internal::kHttpNotFound, "no-route", now, &actions);
+    return actions;
+  }
+  const Route& route = *request->route;
+  const absl::Duration time_left =
+      request->caller.time_left.value_or(internal::kNoDeadline);
+  request->deadline =
+      request->caller.arrival + std::min(time_left, route.timeout);
+  absl::Duration& longest = longest_time_left_[route.name];
+  longest = std::max(longest, time_left);
+  request->is_return = time_left < longest * internal::kReturnPart;
+  request->service = split_.Next(route);
+  if (suspects_.QuarantinedUntil(request->caller.fingerprint, now) >
+      absl::InfinitePast()) {
+    GiveUp(request, internal::kHttpUnavailable, "crashes-servers", now,
+           &actions);
+    return actions;
+  }
+  retries_.OnRequest(request->service, now);
+  Place(request, now, &actions);
+  return actions;
+}
+
+Placement Steering::Choose(const Request& request, absl::Time now) {
+  PlacementQuery query;
+  query.route = request.route;
+  query.service = request.service;
+  query.object = request.route->has_affinity ? request.caller.object : 0;
+  query.objective = request.caller.arrival + request.route->latency_objective;
+  query.is_return = request.is_return || request.sent > 0;
+  query.tried = request.tried;
+  return balancer_.Choose(query, now);
+}
+
+void Steering::Place(Request* request,
+                     absl::Time now,
+                     SteeringActions* actions) {
+  const Placement placement = Choose(*request, now);
+  if (placement.server == nullptr) {
+    GiveUp(request, internal::kHttpUnavailable, placement.refusal, now,
+           actions);
+    return;
+  }
+  Start(request, placement, now, actions);
+}
+
+void Steering::Start(Request* request,
+                     const Placement& placement,
+                     absl::Time now,
+                     SteeringActions* actions) {
+  const BackendServer& server = placement.server->server();
+  placement.server->OnStart(now);
+  Attempt& attempt = request->attempt;
+  attempt.id = ++last_attempt_;
+  attempt.server = placement.server;
+  attempt.start = now;
+  attempt.expected = placement.expected;
+  attempt.was_uncrowded = placement.load + 1 <= server.slots;
+  request->tried.push_back(server.id);
+  request->log.push_back(absl::StrCat(
+      server.id, ":load=", placement.load, "/", server.slots,
+      ":expected_ms=", absl::ToInt64Milliseconds(placement.expected)));
+  request->next_check = request->route->is_idempotent
+                            ? now + placement.expected * kLostAnswerFactor
+                            : request->deadline;
+  attempts_.emplace(attempt.id, request->caller.id);
+  const absl::Duration round_trip = zones_->RoundTrip(server.zone);
+  StartAttempt start;
+  start.request = request->caller.id;
+  start.attempt = attempt.id;
+  start.server = server.id;
+  start.endpoint = server.endpoint;
+  start.time_left = request->deadline - now - round_trip / 2 - kReturnTrip;
+  start.connect_timeout = round_trip * 2 + kConnectSlack;
+  start.is_idempotent = request->route->is_idempotent;
+  actions->push_back(std::move(start));
+}
+
+void Steering::Learn(const Request& request,
+                     const AttemptEnd& end,
+                     absl::Time now) {
+  ServerLoad* server = request.attempt.server.get();
+  server->OnEnd();
+  if (end.load) {
+    server->OnReport(*end.load, now);
+  }
+  if (end.cold_left) {
+    server->OnCold(now + *end.cold_left);
+  }
+  if (end.connect_time) {
+    zones_->OnRoundTrip(server->server().zone, *end.connect_time);
+  }
+  const ServiceSpec* service = request.config->FindService(request.service);
+  const absl::Duration warmup =
+      service == nullptr ? absl::ZeroDuration() : service->warmup;
+  if (end.is_other_server) {
+    server->OnUnreachable(warmup, now);
+    return;
+  }
+  switch (end.result) {
+    case AttemptResult::kConnectFailed:
+      server->OnUnreachable(warmup, now);
+      return;
+    case AttemptResult::kCompleted:
+      server->OnReachable();
+      server->OnOutcome(end.status >= internal::kHttpServerError, now);
+      break;
+    case AttemptResult::kRefused: {
+      server->OnReachable();
+      // A full server refuses; with free slots a refusal is a fault.
+      const bool is_full =
+          end.load && end.load->running + end.load->waiting >= end.load->slots;
+      server->OnOutcome(!is_full, now);
+      return;
+    }
+    default:
+      server->OnOutcome(true, now);
+      return;
+  }
+  if (!request.attempt.was_uncrowded || server->IsCold(now) ||
+      end.status >= internal::kHttpServerError) {
+    return;
+  }
+  const absl::Duration work =
+      now - request.attempt.start - zones_->RoundTrip(server->server().zone);
+  const absl::Duration usual =
+      balancer_.WorkTime(request.service, *request.route);
+  if (usual > absl::ZeroDuration()) {
+    server->OnSpeed(absl::FDivDuration(work, usual), now);
+  }
+  balancer_.OnWork(request.service, *request.route, work);
+}
+
+void Steering::NoteBroken(const Request& request,
+                          const AttemptEnd& end,
+                          absl::Time now) {
+  if (end.result == AttemptResult::kBroken) {
+    broken_[request.attempt.server->server().id].emplace_back(
+        now, request.caller.fingerprint);
+    return;
+  }
+  if (end.result != AttemptResult::kConnectFailed) {
+    return;
+  }
+  const auto broken = broken_.find(request.attempt.server->server().id);
+  if (broken == broken_.end()) {
+    return;
+  }
+  for (const auto& [at, fingerprint] : broken->second) {
+    if (now - at > kCrashWindow) {
+      continue;
+    }
+    const auto notice = suspects_.OnCrash(
+        fingerprint, suspects_.IsSuspect(fingerprint, now), now);
+    if (notice && hooks_.on_crashing_request) {
+      hooks_.on_crashing_request(notice->fingerprint);
+    }
+  }
+  broken_.erase(broken);
+}
+
+SteeringActions Steering::OnAttemptEnd(const AttemptEnd& end, absl::Time now) {
+  SteeringActions actions;
+  const auto known = attempts_.find(end.attempt);
+  if (known == attempts_.end()) {
+    return actions;
+  }
+  Request* request = requests_.at(known->second).get();
+  attempts_.erase(known);
+  NoteBroken(*request, end, now);
+  Learn(*request, end, now);
+  request->attempt.id = 0;
+  absl::StrAppend(
+      &request->log.back(), ":result=", static_cast<int>(end.result),
+      ":status=", end.status,
+      ":ms=", absl::ToInt64Milliseconds(now - request->attempt.start));
+  if (request->is_caller_gone) {
+    Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
+    return actions;
+  }
+  switch (end.result) {
+    case AttemptResult::kCompleted:
+      OnAnswer(request, end, now, &actions);
+      break;
+    case AttemptResult::kRefused:
+      ++request->sent;
+      if (const Placement next = ChooseRetry(*request, now); next.server) {
+        Start(request, next, now, &actions);
+        break;
+      }
+      GiveUp(request, internal::kHttpUnavailable, "refused-by-server", now,
+             &actions);
+      break;
+    case AttemptResult::kConnectFailed:
+      ++request->unsent;
+      if (request->unsent <= kMaxUnsent && now < request->deadline) {
+        Place(request, now, &actions);
+        break;
+      }
+      GiveUp(request, internal::kHttpUnavailable, "no-connection", now,
+             &actions);
+      break;
+    default:
+      ++request->sent;
+      request->may_have_run = true;
+      if (request->route->is_idempotent) {
+        if (const Placement next = ChooseRetry(*request, now); next.server) {
+          Start(request, next, now, &actions);
+          break;
+        }
+      }
+      GiveUp(request, internal::kHttpBadGateway, "answer-lost", now, &actions);
+  }
+  return actions;
+}
+
+void Steering::OnAnswer(Request* request,
+                        const AttemptEnd& end,
+                        absl::Time now,
+                        SteeringActions* actions) {
+  ++request->sent;
+  request->may_have_run = true;
+  const bool is_failure = end.status >= internal::kHttpServerError &&
+                          end.status != internal::kHttpGatewayTimeout;
+  if (is_failure && request->route->is_idempotent) {
+    if (const Placement next = ChooseRetry(*request, now); next.server) {
+      Start(request, next, now, actions);
+      return;
+    }
+  }
+  Deliver(request, end, now, actions);
+}
+
+Placement Steering::ChooseRetry(const Request& request, absl::Time now) {
+  const absl::Duration work =
+      balancer_.WorkTime(request.service, *request.route);
+  if (request.sent >= request.route->max_attempts ||
+      request.deadline - now < work * kLeastRetryPart) {
+    return {};
+  }
+  Placement next = Choose(request, now);
+  if (next.server != nullptr && !retries_.TryRetry(request.service, now)) {
+    return {};
+  }
+  return next;
+}
+
+void Steering::Deliver(Request* request,
+                       const AttemptEnd& end,
+                       absl::Time now,
+                       SteeringActions* actions) {
+  actions->push_back(DeliverAnswer{request->caller.id, end.attempt});
+  Finish(request, end.status, "answered", absl::ZeroDuration(), now);
+}
+
+void Steering::GiveUp(Request* request,
+                      int status,
+                      absl::string_view reason,
+                      absl::Time now,
+                      SteeringActions* actions) {
+  Refuse refuse;
+  refuse.request = request->caller.id;
+  refuse.status = status;
+  refuse.reason = std::string(reason);
+  const bool promises_not_run = status == internal::kHttpUnavailable;
+  if (promises_not_run && request->may_have_run) {
+    refuse.status = internal::kHttpBadGateway;
+  } else if (promises_not_run) {
+    refuse.retry_after = RetryAfter(*request);
+  }
+  Finish(request, refuse.status, reason,
+         refuse.retry_after.value_or(absl::ZeroDuration()), now);
+  actions->push_back(std::move(refuse));
+}
+
+absl::Duration Steering::RetryAfter(const Request& request) {
+  if (request.route == nullptr) {
+    return kUnreadyRetryAfter;
+  }
+  const absl::Duration work =
+      balancer_.WorkTime(request.service, *request.route);
+  return work * (kReturnLeast + (kReturnMost - kReturnLeast) * random_.Unit());
+}
+
+void Steering::AbandonAttempt(Request* request, SteeringActions* actions) {
+  Attempt& attempt = request->attempt;
+  if (attempt.id == 0) {
+    return;
+  }
+  attempt.server->OnEnd();
+  attempts_.erase(attempt.id);
+  actions->push_back(AbortAttempt{request->caller.id, attempt.id});
+  attempt.id = 0;
+}
+
+SteeringActions Steering::OnCallerGone(RequestId id, absl::Time now) {
+  SteeringActions actions;
+  const auto known = requests_.find(id);
+  if (known == requests_.end()) {
+    return actions;
+  }
+  Request* request = known->second.get();
+  request->is_caller_gone = true;
+  // Work that can't be repeated is not broken off: it may be half done.
+  if (request->route != nullptr && !request->route->is_idempotent &&
+      request->attempt.id != 0) {
+    return actions;
+  }
+  AbandonAttempt(request, &actions);
+  Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
+  return actions;
+}
+
+SteeringActions Steering::OnTick(absl::Time now) {
+  SteeringActions actions;
+  std::vector<Request*> due;
+  for (const auto& [id, request] : requests_) {
+    if (now >= request->deadline || now >= request->next_check) {
+      due.push_back(request.get());
+    }
+  }
+  for (Request* request : due) {
+    if (now >= request->deadline) {
+      OnTimeout(request, now, &actions);
+      continue;
+    }
+    request->next_check = request->deadline;
+    ReplaceAttempt(request, now, &actions);
+  }
+  return actions;
+}
+
+void Steering::OnTimeout(Request* request,
+                         absl::Time now,
+                         SteeringActions* actions) {
+  const bool was_sent = request->attempt.id != 0;
+  request->may_have_run = request->may_have_run || was_sent;
+  AbandonAttempt(request, actions);
+  if (request->is_caller_gone) {
+    Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
+    return;
+  }
+  GiveUp(request,
+         request->may_have_run ? internal::kHttpGatewayTimeout
+                               : internal::kHttpUnavailable,
+         "timeout", now, actions);
+}
+
+void Steering::ReplaceAttempt(Request* request,
+                              absl::Time now,
+                              SteeringActions* actions) {
+  if (request->is_caller_gone || request->attempt.id == 0 ||
+      request->sent + 1 >= request->route->max_attempts) {
+    return;
+  }
+  const Placement next = ChooseRetry(*request, now);
+  if (next.server == nullptr) {
+    return;
+  }
+  request->attempt.server->OnOutcome(true, now);
+  AbandonAttempt(request, actions);
+  ++request->sent;
+  request->may_have_run = true;
+  absl::StrAppend(&request->log.back(), ":result=lost");
+  Start(request, next, now, actions);
+}
+
+void Steering::Finish(Request* request,
+                      int status,
+                      absl::string_view reason,
+                      absl::Duration retry_after,
+                      absl::Time now) {
+  if (hooks_.on_request_end) {
+    RequestRecord record;
+    record.request = &request->caller;
+    record.route = request->route == nullptr ? "" : request->route->name;
+    record.service = request->service;
+    record.config_version =
+        request->config == nullptr ? 0 : request->config->version();
+    record.status = status;
+    record.reason = std::string(reason);
+    record.attempts = request->log;
+    record.retry_after = retry_after;
+    record.took = now - request->caller.arrival;
+    hooks_.on_request_end(record);
+  }
+  requests_.erase(request->caller.id);
+}
+
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/packages/gateway/src/zone_map.cc
@@ -0,0 +1,42 @@
+#include "gateway/src/zone_map.h"
+
+#include <utility>
+
+namespace baobabwall::gateway {
+
+ZoneMap::ZoneMap(std::map<std::string, std::string, std::less<>> regions,
+                 std::string own_zone)
+    : regions_(std::move(regions)), own_zone_(std::move(own_zone)) {
+  own_region_ = std::string(RegionOf(own_zone_));
+}
+
+absl::string_view ZoneMap::RegionOf(absl::string_view zone) const {
+  const auto found = regions_.find(zone);
+  return found == regions_.end() ? absl::string_view() : found->second;
+}
+
+absl::Duration ZoneMap::RoundTrip(absl::string_view zone) const {
+  const auto found = measured_.find(zone);
+  if (found != measured_.end()) {
+    return found->second;
+  }
+  if (zone == own_zone_) {
+    return kSameZone;
+  }
+  const absl::string_view region = RegionOf(zone);
+  return !region.empty() && region == own_region_ ? kSameRegion : kOtherRegion;
+}
+
+void ZoneMap::OnRoundTrip(absl::string_view zone, absl::Duration measured) {
+  const auto found = measured_.find(zone);
+  if (found == measured_.end()) {
+    measured_.emplace(zone, measured);
+    return;
+  }
+  absl::Duration& mean = found->second;
+  mean = measured < mean
+             ? measured
+             : mean * (1 - kLongerWeight) + measured * kLongerWeight;
+}
+
+}  // namespace baobabwall::gateway
--- a/packages/transport/src/embedded_store.cc
+++ b/packages/transport/src/embedded_store.cc
@@ -41,13 +41,18 @@
   answer.revision = revision_;
   answer.status = control::StoreStatus::kOk;
   const std::string& first = std::max(request.first, request.prefix);
-  for (auto it = values_.lower_bound(first);
-       it != values_.end() && absl::StartsWith(it->first, request.prefix) &&
-       static_cast<int>(answer.key_values.size()) < request.limit;
+  const auto begin = request.after.empty() ? values_.lower_bound(first)
+                                           : values_.upper_bound(request.after);
+  for (auto it = begin;
+       it != values_.end() && absl::StartsWith(it->first, request.prefix);
        ++it) {
     if (it->second.is_deleted) {
       continue;
     }
+    if (static_cast<int>(answer.key_values.size()) >= request.limit) {
+      answer.has_more = true;
+      break;
+    }
     answer.key_values.push_back(internal::ToKeyValue(
         it->first, it->second.text, it->second.revision, false));
   }
@@ -108,6 +113,22 @@
   return answer;
 }
 
+control::StoreAnswer KeyValueState::EndLease(
+    const control::StoreLeaseEnd& request,
+    absl::Time now) {
+  control::StoreAnswer answer;
+  answer.lease = request.lease;
+  answer.status = control::StoreStatus::kNotFound;
+  const auto found = leases_.find(request.lease);
+  if (found != leases_.end() && found->second.end > now) {
+    found->second.end = now;
+    answer.status = control::StoreStatus::kOk;
+    ExpireLeases(now);
+  }
+  answer.revision = revision_;
+  return answer;
+}
+
 control::StoreAnswer KeyValueState::Changes(
     const control::StoreWatch& request) const {
   control::StoreAnswer answer;
@@ -177,6 +198,9 @@
     control::StoreAnswer operator()(const control::StoreLeaseKeepAlive& r) {
       return state->KeepAlive(r, now);
     }
+    control::StoreAnswer operator()(const control::StoreLeaseEnd& r) {
+      return state->EndLease(r, now);
+    }
     control::StoreAnswer operator()(const control::StoreWatch& r) {
       return state->Changes(r);
     }
--- a/packages/transport/src/embedded_store.h
+++ b/packages/transport/src/embedded_store.h
@@ -27,6 +27,8 @@
                                  absl::Time now);
 
   /// \returns the keys of the prefix that were written after the revision.
+  control::StoreAnswer EndLease(const control::StoreLeaseEnd& request,
+                                absl::Time now);
   control::StoreAnswer Changes(const control::StoreWatch& request) const;
 
   /// \brief Deletes the keys of lapsed leases.
--- a/packages/transport/src/http_store_client.cc
+++ b/packages/transport/src/http_store_client.cc
@@ -53,6 +53,9 @@
   WireCall operator()(const control::StoreLeaseKeepAlive& r) const {
     return {"keepalive", {{"lease", r.lease}}, {}};
   }
+  WireCall operator()(const control::StoreLeaseEnd& r) const {
+    return {"endlease", {{"lease", r.lease}}, {}};
+  }
   WireCall operator()(const control::StoreWatch& r) const {
     return {"watch",
             {{"prefix", r.prefix},
--- a/packages/transport/src/metrics.cc
+++ b/packages/transport/src/metrics.cc
@@ -28,6 +28,10 @@
       return "conflict";
     case control::StoreStatus::kNotFound:
       return "not-found";
+    case control::StoreStatus::kHistoryGone:
+      return "history-gone";
+    case control::StoreStatus::kRefused:
+      return "refused";
     case control::StoreStatus::kUnknown:
       break;
   }
--- a/test/fake_store.cc
+++ b/test/fake_store.cc
@@ -41,6 +41,8 @@
           return state_.Grant(value, now);
         } else if constexpr (std::is_same_v<T, control::StoreLeaseKeepAlive>) {
           return state_.KeepAlive(value, now);
+        } else if constexpr (std::is_same_v<T, control::StoreLeaseEnd>) {
+          return state_.EndLease(value, now);
         } else {
           const bool is_stale = faults_.stale_reads > 0;
           faults_.stale_reads -= is_stale ? 1 : 0;
--- a/test/store_standin_main.cc
+++ b/test/store_standin_main.cc
@@ -202,6 +202,12 @@
     if (kind == "keepalive") {
       return state_.KeepAlive({request.value("lease", uint64_t{0})}, now);
     }
+    if (kind == "endlease") {
+      const control::StoreLeaseEnd end = {request.value("lease", uint64_t{0})};
+      const control::StoreAnswer answer = state_.EndLease(end, now);
+      changed_.notify_all();
+      return answer;
+    }
     if (kind == "watch") {
       return Watch(request, &lock, is_lost);
     }
