--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -41,7 +41,7 @@
       if (slot.exchange != exchange) {
         continue;
       }
-      slot.answer = std::make_unique<HttpResponse>(std::move(answer));
+      slot.answer = std::make_shared<HttpResponse>(std::move(answer));
       break;
     }
     WriteNext();
@@ -92,7 +92,8 @@
   struct Slot {
     ExchangeId exchange = 0;
     bool keeps_alive = true;
-    std::unique_ptr<HttpResponse> answer;
+    /// Shared with its write, which may outlast the slot.
+    std::shared_ptr<HttpResponse> answer;
   };
 
   void Read() {
@@ -166,7 +167,7 @@
   void Reject(http::status status) {
     is_read_stopped_ = true;
     Slot slot;
-    slot.answer = std::make_unique<HttpResponse>(status, 11);
+    slot.answer = std::make_shared<HttpResponse>(status, 11);
     slots_.push_back(std::move(slot));
     WriteNext();
   }
@@ -216,10 +217,10 @@
     const bool is_last = is_read_stopped_ && slots_.size() == 1;
     slot.answer->version(11);
     slot.answer->keep_alive(!is_last);
-    http::async_write(socket_, *slot.answer,
-                      [self = shared_from_this()](error_code error, size_t) {
-                        self->OnWritten(error);
-                      });
+    http::async_write(
+        socket_, *slot.answer,
+        [self = shared_from_this(), answer = slot.answer](
+            error_code error, size_t) { self->OnWritten(error); });
   }
 
   void OnWritten(error_code error) {
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "glog/logging.h"
 
@@ -259,6 +260,7 @@
   }
   LOG(INFO) << "route: request=" << record.request->caller_id
             << " route=" << record.route << " service=" << record.service
+            << " object=" << absl::StrCat(absl::Hex(record.request->object))
             << " config=" << record.config_version
             << " status=" << record.status << " reason=" << record.reason
             << " ms=" << absl::ToInt64Milliseconds(record.took)
@@ -347,6 +349,10 @@
   heartbeat.config_version =
       steering_.config() == nullptr ? 0 : steering_.config()->version();
   heartbeat.loads = steering_.balancer().OwnLoads();
+  for (const auto& [service, slots] : steering_.Demand(now)) {
+    heartbeat.demand.emplace_back(gateway::Balancer::ServerHash(service),
+                                  static_cast<int>(slots * 1000));
+  }
   channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat.is_active, now));
   steering_.balancer().SetPeerLoads(peers_.Loads(now));
 }
@@ -356,6 +362,11 @@
   std::vector<gateway::InstanceRecord> instances = peers_.Live(now);
   instances.push_back(self_);
   steering_.SetInstances(std::move(instances));
+  auto demand = peers_.Demand(now);
+  for (const auto& [service, slots] : steering_.Demand(now)) {
+    demand[self_.region][gateway::Balancer::ServerHash(service)] += slots;
+  }
+  steering_.balancer().UpdatePlans(demand, now);
   backends_.OnTick(now);
   for (HttpListener* listener :
        {&callers_, &readiness_, &lookups_, &metrics_listener_}) {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -7,11 +7,14 @@
 #include "gateway/src/backend_registry.h"
 #include "gateway/src/backend_server.h"
 #include "gateway/src/balancer.h"
+#include "gateway/src/demand_meter.h"
 #include "gateway/src/directory.h"
 #include "gateway/src/gateway_control.h"
 #include "gateway/src/heartbeat.h"
 #include "gateway/src/instance_record.h"
+#include "gateway/src/object_memory.h"
 #include "gateway/src/peer_table.h"
+#include "gateway/src/region_plan.h"
 #include "gateway/src/registration.h"
 #include "gateway/src/retry_allowance.h"
 #include "gateway/src/routing_config.h"
@@ -21,6 +24,7 @@
 #include "gateway/src/steering.h"
 #include "gateway/src/steering_event.h"
 #include "gateway/src/traffic_split.h"
+#include "gateway/src/work_times.h"
 #include "gateway/src/zone_map.h"
 
 #endif  // GATEWAY_GATEWAY_H_
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -5,7 +5,6 @@
 #include <set>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "base/base.h"
 
 namespace baobabwall::gateway {
@@ -120,78 +119,103 @@
   return found == best_priority_.end() ? 0 : found->second;
 }
 
-double Balancer::LoadLimit(const PlacementQuery& query, int slots) const {
+double Balancer::LoadLimit(const PlacementQuery& query,
+                           const Candidate& candidate,
+                           absl::Time now) const {
+  const int slots = candidate.server->server().slots;
   if (query.route->priority > BestPriority(query.service)) {
     return std::max(1.0, slots * kLessUrgentPart);
   }
   const double part = query.is_return ? kReturnQueuePart : kQueuePart;
-  return slots + std::max(1.0, slots * part);
+  const double late = slots + std::max(1.0, slots * part);
+  // As many as leave the answer within the objective.
+  const absl::Duration round_trip =
+      zones_->RoundTrip(candidate.server->server().zone);
+  const absl::Duration slack =
+      query.objective - now - round_trip - candidate.work;
+  const double in_time =
+      slots * (1 + absl::FDivDuration(slack, candidate.work));
+  return std::clamp(in_time, late, slots * kMostLoadPart);
 }
 
 Balancer::Candidate Balancer::Weigh(const PlacementQuery& query,
                                     ServerLoad* server,
-                                    bool is_preferred,
-                                    absl::Duration work,
+                                    bool is_first,
+                                    const WorkTime& work,
                                     absl::Time now) const {
   const BackendServer& info = server->server();
+  const double slowness =
+      server->Slowness(now) * (server->IsCold(now) ? kColdServerFactor : 1.0);
+  const bool is_remembered =
+      !query.has_affinity || server->objects().Has(query.object, now);
   Candidate candidate;
   candidate.server = server;
   candidate.load = server->Total(now);
-  const absl::Duration round_trip = zones_->RoundTrip(info.zone);
-  const double slowness =
-      server->Slowness(now) * (server->IsCold(now) ? 2.0 : 1.0);
+  candidate.work = work.warm * slowness;
   const double waiting = std::max(0.0, candidate.load + 1 - info.slots);
-  const absl::Duration wait = work * slowness * (waiting / info.slots);
-  candidate.expected = round_trip + wait + work * slowness;
-  candidate.cost = round_trip + wait * kWaitWeight +
-                   work * std::max(0.0, slowness - 1) +
-                   work * (2 * server->FailureShare(now));
-  if (query.object != 0 && !is_preferred) {
-    candidate.cost += work * kColdObjectPart;
-    candidate.expected += work * kColdObjectPart;
+  const absl::Duration wait = candidate.work * (waiting / info.slots);
+  const absl::Duration round_trip = zones_->RoundTrip(info.zone);
+  const absl::Duration own_work =
+      (is_remembered ? work.warm : work.cold) * slowness;
+  candidate.expected = round_trip + wait + own_work;
+  candidate.cost = round_trip + wait * kWaitWeight + own_work +
+                   work.cold * server->FailureShare(now);
+  if (query.has_affinity && !is_first) {
+    candidate.cost += work.warm * kOtherChoicePart;
   }
   // Spreads requests that all else leaves equal.
-  candidate.cost += work * (0.05 * candidate.load / info.slots);
+  candidate.cost += work.warm * (0.1 * candidate.load / info.slots);
   return candidate;
 }
 
-Placement Balancer::Choose(const PlacementQuery& query, absl::Time now) {
+std::string Balancer::FirstChoice(const PlacementQuery& query) const {
   const auto of_service = by_service_.find(query.service);
-  if (of_service == by_service_.end()) {
-    return {nullptr, 0, {}, "no-server"};
+  if (!query.has_affinity || of_service == by_service_.end()) {
+    return "";
   }
-  // The servers that remember the object: the first of each region by rank.
-  std::map<absl::string_view, std::vector<std::pair<uint64_t, ServerLoad*>>>
-      by_region;
-  for (const std::shared_ptr<ServerLoad>& owned : of_service->second) {
-    ServerLoad* server = owned.get();
-    if (server->server().is_draining) {
+  const auto plan = plans_.find(query.service);
+  const absl::string_view home =
+      plan == plans_.end()
+          ? zones_->own_region()
+          : plan->second.RegionOf(query.object, query.route->allowed_regions);
+  uint64_t best_rank = 0;
+  absl::string_view best;
+  for (const std::shared_ptr<ServerLoad>& server : of_service->second) {
+    const BackendServer& info = server->server();
+    if (info.is_draining || evacuated_.count(info.zone) > 0 ||
+        zones_->RegionOf(info.zone) != home) {
       continue;
     }
-    by_region[zones_->RegionOf(server->server().zone)].emplace_back(
-        internal::Rendezvous(query.object, server->server().id), server);
+    const uint64_t rank = internal::Rendezvous(query.object, info.id);
+    if (best.empty() || rank > best_rank) {
+      best = info.id;
+      best_rank = rank;
+    }
+  }
+  return std::string(best);
+}
+
+Placement Balancer::Choose(const PlacementQuery& query, absl::Time now) {
+  const auto of_service = by_service_.find(query.service);
+  if (of_service == by_service_.end()) {
+    return {nullptr, 0, {}, "no-server"};
   }
-  const absl::Duration work = WorkTime(query.service, *query.route);
+  const std::string first = FirstChoice(query);
+  const WorkTime work = WorkTimeOf(query.service, *query.route);
   Candidate best;
   absl::string_view refusal = "no-usable-server";
-  for (auto& [region, servers] : by_region) {
-    std::sort(servers.rbegin(), servers.rend());
-    const auto preferred =
-        static_cast<size_t>(std::ceil(servers.size() * kAffinityPart));
-    for (size_t i = 0; i < servers.size(); ++i) {
-      ServerLoad* server = servers[i].second;
-      if (!IsUsable(query, server, now)) {
-        continue;
-      }
-      const Candidate candidate =
-          Weigh(query, server, i < preferred, work, now);
-      if (candidate.load + 1 > LoadLimit(query, server->server().slots)) {
-        refusal = "full";
-        continue;
-      }
-      if (best.server == nullptr || candidate.cost < best.cost) {
-        best = candidate;
-      }
+  for (const std::shared_ptr<ServerLoad>& server : of_service->second) {
+    if (!IsUsable(query, server.get(), now)) {
+      continue;
+    }
+    const Candidate candidate =
+        Weigh(query, server.get(), server->server().id == first, work, now);
+    if (candidate.load + 1 > LoadLimit(query, candidate, now)) {
+      refusal = "full";
+      continue;
+    }
+    if (best.server == nullptr || candidate.cost < best.cost) {
+      best = candidate;
     }
   }
   if (best.server == nullptr) {
@@ -201,21 +225,46 @@
   return {chosen->second, best.load, best.expected, {}};
 }
 
-absl::Duration Balancer::WorkTime(absl::string_view service,
-                                  const Route& route) const {
-  const auto found = work_s_.find(absl::StrCat(service, "/", route.name));
-  return found == work_s_.end() ? route.latency_objective * kInitialWorkPart
-                                : absl::Seconds(found->second);
+void Balancer::OnWork(const PlacementQuery& query,
+                      ServerLoad* server,
+                      absl::Duration work,
+                      absl::Time now) {
+  const bool was_remembered =
+      query.has_affinity && server->objects().Has(query.object, now);
+  const WorkTime usual = WorkTimeOf(query.service, *query.route);
+  const bool is_warm = work_times_.OnAnswer(query.service, *query.route, work);
+  const absl::Duration expected = is_warm ? usual.warm : usual.cold;
+  if (expected > absl::ZeroDuration()) {
+    server->OnSpeed(absl::FDivDuration(work, expected), now);
+  }
+  if (query.has_affinity && was_remembered && !is_warm) {
+    server->objects().Remove(query.object);
+  } else if (query.has_affinity) {
+    server->objects().Add(query.object, now);
+  }
 }
 
-void Balancer::OnWork(absl::string_view service,
-                      const Route& route,
-                      absl::Duration work) {
-  const double seconds = absl::ToDoubleSeconds(work);
-  const auto [entry, is_new] =
-      work_s_.emplace(absl::StrCat(service, "/", route.name),
-                      absl::ToDoubleSeconds(WorkTime(service, route)));
-  entry->second += kWorkWeight * (seconds - entry->second);
+void Balancer::UpdatePlans(
+    const std::map<std::string, absl::flat_hash_map<uint32_t, double>>& demand,
+    absl::Time now) {
+  for (const auto& [service, servers] : by_service_) {
+    std::map<std::string, RegionLoad, std::less<>> loads;
+    for (const auto& [region, by_hash] : demand) {
+      const auto found = by_hash.find(ServerHash(service));
+      loads[region].demand = found == by_hash.end() ? 0 : found->second;
+    }
+    for (const std::shared_ptr<ServerLoad>& server : servers) {
+      const BackendServer& info = server->server();
+      const bool is_usable = !info.is_draining && !server->IsPaused(now) &&
+                             evacuated_.count(info.zone) == 0;
+      if (is_usable) {
+        loads[std::string(zones_->RegionOf(info.zone))].capacity +=
+            info.slots / server->Slowness(now);
+      }
+    }
+    plans_.try_emplace(service, zones_->own_region())
+        .first->second.Update(loads);
+  }
 }
 
 std::vector<std::pair<uint32_t, int>> Balancer::OwnLoads() const {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -14,8 +14,10 @@
 #include "absl/types/span.h"
 #include "gateway/src/backend_server.h"
 #include "gateway/src/instance_record.h"
+#include "gateway/src/region_plan.h"
 #include "gateway/src/routing_config.h"
 #include "gateway/src/server_load.h"
+#include "gateway/src/work_times.h"
 #include "gateway/src/zone_map.h"
 
 namespace baobabwall::gateway {
@@ -24,9 +26,10 @@
 struct PlacementQuery {
   const Route* route = nullptr;
   absl::string_view service;
-  uint64_t object = 0;     ///< Hash of the object it concerns; 0: none.
-  absl::Time objective;    ///< Until when an answer earns its full credit.
-  bool is_return = false;  ///< Its caller was refused before.
+  uint64_t object = 0;  ///< Hash of the object it concerns, or any number.
+  bool has_affinity = false;  ///< Servers remember the object.
+  absl::Time objective;       ///< Until when an answer earns its full credit.
+  bool is_return = false;     ///< Its caller was refused before.
   absl::Span<const std::string> tried;  ///< Ids of backend servers.
 };
 
@@ -40,27 +43,29 @@
 
 /// \brief Chooses backend servers by distance, load, speed and affinity.
 ///
-/// A server is used beyond its slots only as far as the lag of the load
-/// figures asks for; more would make requests wait that another could serve in
-/// time. Requests for the same object go to the same few servers of a region,
-/// which remember it.
+/// A server that remembers a request's object needs much less time, so requests
+/// for an object go to the server that had it before, and to the same one from
+/// all instances at first: the first by rank of the region that the plan gives
+/// the object. They wait there as long as that is shorter than the work of a
+/// server that would have to begin anew.
 class Balancer {
  public:
-  /// Time of work before any answer was seen, as a part of the objective.
-  static constexpr double kInitialWorkPart = 0.8;
-  static constexpr double kWorkWeight = 0.03;
-  /// A server that does not remember the object takes this much longer.
-  static constexpr double kColdObjectPart = 0.43;
-  /// Part of a region's servers that get the requests for one object.
-  static constexpr double kAffinityPart = 0.5;
   /// A request that waits delays those behind it as well.
   static constexpr double kWaitWeight = 2.0;
-  /// Requests beyond the slots, as a part of them: of new requests, and of
-  /// requests whose caller was refused before.
+  /// Cost of a server that is not the first choice for an object, as a part of
+  /// the work; it only decides between servers that are alike otherwise.
+  static constexpr double kOtherChoicePart = 0.3;
+  /// Requests beyond the slots, as a part of them, of which none can be
+  /// answered in time: of new requests, and of requests whose caller was
+  /// refused before.
   static constexpr double kQueuePart = 0.25;
   static constexpr double kReturnQueuePart = 0.8;
+  /// Most requests at a server, as a multiple of its slots.
+  static constexpr double kMostLoadPart = 3.0;
   /// Part of the slots open to requests of less urgent routes.
   static constexpr double kLessUrgentPart = 0.8;
+  /// A server within its first seconds needs this many times as long.
+  static constexpr double kColdServerFactor = 2.0;
   /// Instances that may send to a cold server.
   static constexpr int kColdOwners = 2;
 
@@ -74,13 +79,24 @@
 
   Placement Choose(const PlacementQuery& query, absl::Time now);
 
-  /// \brief An answer arrived from a server that was not overfull when its
-  /// request was sent.
-  void OnWork(absl::string_view service,
-              const Route& route,
-              absl::Duration work);
-
-  absl::Duration WorkTime(absl::string_view service, const Route& route) const;
+  /// \brief A server with a free slot has answered.
+  /// \param work time that it took, without the way.
+  void OnWork(const PlacementQuery& query,
+              ServerLoad* server,
+              absl::Duration work,
+              absl::Time now);
+
+  WorkTime WorkTimeOf(absl::string_view service, const Route& route) const {
+    return work_times_.Of(service, route);
+  }
+
+  /// \brief Plans anew in which regions requests run.
+  /// \param demand of all callers by region and ServerHash() of the service, in
+  /// slots.
+  void UpdatePlans(
+      const std::map<std::string, absl::flat_hash_map<uint32_t, double>>&
+          demand,
+      absl::Time now);
 
   /// \returns requests in flight by backend server, without those at zero.
   std::vector<std::pair<uint32_t, int>> OwnLoads() const;
@@ -99,19 +115,25 @@
     double load = 0;
     absl::Duration expected;
     absl::Duration cost;
+    absl::Duration work;  ///< Of each request at the server.
   };
 
   bool IsUsable(const PlacementQuery& query,
                 ServerLoad* server,
                 absl::Time now) const;
   int64_t ColdShare(const BackendServer& server) const;
-  double LoadLimit(const PlacementQuery& query, int slots) const;
+  double LoadLimit(const PlacementQuery& query,
+                   const Candidate& candidate,
+                   absl::Time now) const;
   int BestPriority(absl::string_view service) const;
+  /// \param is_first whether it is the first choice for the object.
   Candidate Weigh(const PlacementQuery& query,
                   ServerLoad* server,
-                  bool is_preferred,
-                  absl::Duration work,
+                  bool is_first,
+                  const WorkTime& work,
                   absl::Time now) const;
+  /// \returns the first choice for the query's object; empty: none.
+  std::string FirstChoice(const PlacementQuery& query) const;
 
   ZoneMap* zones_;
   std::string self_;
@@ -122,8 +144,9 @@
       by_service_;
   std::set<std::string, std::less<>> evacuated_;
   std::vector<InstanceRecord> instances_;
+  absl::flat_hash_map<std::string, RegionPlan> plans_;  ///< By service.
   absl::flat_hash_map<std::string, int> best_priority_;
-  absl::flat_hash_map<std::string, double> work_s_;  ///< By service and route.
+  WorkTimes work_times_;
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -6,19 +6,39 @@
 namespace baobabwall::gateway {
 namespace internal {
 
-constexpr size_t kFields = 8;
+constexpr size_t kFields = 9;
+
+/// Pairs are sent as one flat list.
+nlohmann::json Flatten(absl::Span<const std::pair<uint32_t, int>> pairs) {
+  nlohmann::json flat = nlohmann::json::array();
+  for (const auto& [key, value] :
+       pairs.first(std::min(pairs.size(), Heartbeat::kMaxLoads))) {
+    flat.push_back(key);
+    flat.push_back(value);
+  }
+  return flat;
+}
+
+std::vector<std::pair<uint32_t, int>> Unflatten(const nlohmann::json& flat) {
+  std::vector<std::pair<uint32_t, int>> pairs;
+  for (size_t i = 0; i + 1 < flat.size(); i += 2) {
+    pairs.emplace_back(flat[i].get<uint32_t>(), flat[i + 1].get<int>());
+  }
+  return pairs;
+}
 
 }  // namespace internal
 
 std::vector<uint8_t> Heartbeat::Encode() const {
-  nlohmann::json flat = nlohmann::json::array();
-  for (size_t i = 0; i < std::min(loads.size(), kMaxLoads); ++i) {
-    flat.push_back(loads[i].first);
-    flat.push_back(loads[i].second);
-  }
-  const nlohmann::json message = {instance,       incarnation,    sequence,
-                                  is_ready,       is_leaving,     is_active,
-                                  config_version, std::move(flat)};
+  const nlohmann::json message = {instance,
+                                  incarnation,
+                                  sequence,
+                                  is_ready,
+                                  is_leaving,
+                                  is_active,
+                                  config_version,
+                                  internal::Flatten(loads),
+                                  internal::Flatten(demand)};
   return nlohmann::json::to_msgpack(message);
 }
 
@@ -37,11 +57,8 @@
     heartbeat.is_leaving = message[4].get<bool>();
     heartbeat.is_active = message[5].get<bool>();
     heartbeat.config_version = message[6].get<int64_t>();
-    const nlohmann::json& flat = message[7];
-    for (size_t i = 0; i + 1 < flat.size(); i += 2) {
-      heartbeat.loads.emplace_back(flat[i].get<uint32_t>(),
-                                   flat[i + 1].get<int>());
-    }
+    heartbeat.loads = internal::Unflatten(message[7]);
+    heartbeat.demand = internal::Unflatten(message[8]);
     return heartbeat;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -24,6 +24,10 @@
   /// Requests in flight by Balancer::ServerHash(), at most kMaxLoads.
   std::vector<std::pair<uint32_t, int>> loads;
 
+  /// Demand of its callers by Balancer::ServerHash() of the service, in 1/1000
+  /// slots.
+  std::vector<std::pair<uint32_t, int>> demand;
+
   /// Keeps a datagram within an Ethernet frame.
   static constexpr size_t kMaxLoads = 120;
 
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -84,6 +84,20 @@
   return due;
 }
 
+std::map<std::string, absl::flat_hash_map<uint32_t, double>> PeerTable::Demand(
+    absl::Time now) const {
+  std::map<std::string, absl::flat_hash_map<uint32_t, double>> demand;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > kSilence) {
+      continue;
+    }
+    for (const auto& [service, milli_slots] : peer.last.demand) {
+      demand[peer.record.region][service] += milli_slots / 1000.0;
+    }
+  }
+  return demand;
+}
+
 absl::flat_hash_map<uint32_t, int> PeerTable::Loads(absl::Time now) const {
   absl::flat_hash_map<uint32_t, int> loads;
   for (const auto& [name, peer] : peers_) {
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -50,6 +50,11 @@
   /// \returns requests in flight at other instances, by server.
   absl::flat_hash_map<uint32_t, int> Loads(absl::Time now) const;
 
+  /// \returns demand of other instances' callers in slots, by region and by
+  /// hash of the service.
+  std::map<std::string, absl::flat_hash_map<uint32_t, double>> Demand(
+      absl::Time now) const;
+
   size_t size() const { return peers_.size(); }
 
  private:
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -7,6 +7,7 @@
 #include "absl/time/time.h"
 #include "base/base.h"
 #include "gateway/src/backend_server.h"
+#include "gateway/src/object_memory.h"
 
 namespace baobabwall::gateway {
 
@@ -53,6 +54,9 @@
   /// \returns part of its requests that fail, 0 to 1.
   double FailureShare(absl::Time now) const;
 
+  ObjectMemory& objects() { return objects_; }
+  const ObjectMemory& objects() const { return objects_; }
+
   bool IsPaused(absl::Time now) const { return now < paused_until_; }
   bool IsCold(absl::Time now) const { return now < server_.cold_until; }
 
@@ -77,6 +81,7 @@
   double Forgotten(absl::Time since, absl::Time now) const;
 
   BackendServer server_;
+  ObjectMemory objects_;
   int own_ = 0;
   int peers_ = 0;
   double reported_others_ = 0;
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -91,19 +91,29 @@
     return actions;
   }
   retries_.OnRequest(request->service, now);
+  demand_.OnRequest(request->service,
+                    balancer_.WorkTimeOf(request->service, route).warm, now);
   Place(request, now, &actions);
   return actions;
 }
 
-Placement Steering::Choose(const Request& request, absl::Time now) {
+PlacementQuery Steering::QueryOf(const Request& request) {
   PlacementQuery query;
   query.route = request.route;
   query.service = request.service;
-  query.object = request.route->has_affinity ? request.caller.object : 0;
+  query.has_affinity =
+      request.route->has_affinity && request.caller.object != 0;
+  // Requests without an object are spread by their number.
+  query.object = query.has_affinity ? request.caller.object
+                                    : base::StableHash("", request.caller.id);
   query.objective = request.caller.arrival + request.route->latency_objective;
   query.is_return = request.is_return || request.sent > 0;
   query.tried = request.tried;
-  return balancer_.Choose(query, now);
+  return query;
+}
+
+Placement Steering::Choose(const Request& request, absl::Time now) {
+  return balancer_.Choose(QueryOf(request), now);
 }
 
 void Steering::Place(Request* request,
@@ -134,9 +144,13 @@
   request->log.push_back(absl::StrCat(
       server.id, ":load=", placement.load, "/", server.slots,
       ":expected_ms=", absl::ToInt64Milliseconds(placement.expected)));
-  request->next_check = request->route->is_idempotent
-                            ? now + placement.expected * kLostAnswerFactor
-                            : request->deadline;
+  request->next_check =
+      request->route->is_idempotent
+          ? now +
+                (placement.expected +
+                 balancer_.WorkTimeOf(request->service, *request->route).cold) *
+                    kLostAnswerFactor
+          : request->deadline;
   attempts_.emplace(attempt.id, request->caller.id);
   const absl::Duration round_trip = zones_->RoundTrip(server.zone);
   StartAttempt start;
@@ -197,12 +211,7 @@
   }
   const absl::Duration work =
       now - request.attempt.start - zones_->RoundTrip(server->server().zone);
-  const absl::Duration usual =
-      balancer_.WorkTime(request.service, *request.route);
-  if (usual > absl::ZeroDuration()) {
-    server->OnSpeed(absl::FDivDuration(work, usual), now);
-  }
-  balancer_.OnWork(request.service, *request.route, work);
+  balancer_.OnWork(QueryOf(request), server, work, now);
 }
 
 void Steering::NoteBroken(const Request& request,
@@ -307,7 +316,7 @@
 
 Placement Steering::ChooseRetry(const Request& request, absl::Time now) {
   const absl::Duration work =
-      balancer_.WorkTime(request.service, *request.route);
+      balancer_.WorkTimeOf(request.service, *request.route).cold;
   if (request.sent >= request.route->max_attempts ||
       request.deadline - now < work * kLeastRetryPart) {
     return {};
@@ -352,7 +361,7 @@
     return kUnreadyRetryAfter;
   }
   const absl::Duration work =
-      balancer_.WorkTime(request.service, *request.route);
+      balancer_.WorkTimeOf(request.service, *request.route).cold;
   return work * (kReturnLeast + (kReturnMost - kReturnLeast) * random_.Unit());
 }
 
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "base/base.h"
 #include "gateway/src/balancer.h"
+#include "gateway/src/demand_meter.h"
 #include "gateway/src/retry_allowance.h"
 #include "gateway/src/steering_event.h"
 #include "gateway/src/traffic_split.h"
@@ -38,9 +39,10 @@
 /// one DeliverAnswer or Refuse, or by OnCallerGone().
 class Steering {
  public:
-  /// An answer that takes this many times as long as expected counts as lost,
-  /// if the request may run again.
-  static constexpr double kLostAnswerFactor = 3.0;
+  /// An answer that takes this many times as long as expected, and as the work
+  /// of a server that remembers nothing, counts as lost if the request may run
+  /// again.
+  static constexpr double kLostAnswerFactor = 2.0;
   /// Connections are given up after two round trips and this time.
   static constexpr absl::Duration kConnectSlack = absl::Milliseconds(250);
   /// Attempts that failed before a request was sent, for each request.
@@ -83,6 +85,11 @@
   /// \brief Ends requests whose time is over, and attempts without an answer.
   SteeringActions OnTick(absl::Time now);
 
+  /// \returns demand of this instance's callers by service, in slots.
+  absl::flat_hash_map<std::string, double> Demand(absl::Time now) const {
+    return demand_.Demand(now);
+  }
+
   Balancer& balancer() { return balancer_; }
   const RoutingConfig* config() const { return config_.get(); }
   size_t in_flight() const { return requests_.size(); }
@@ -118,6 +125,7 @@
   /// \brief Starts the first attempt, or one after an attempt that was not
   /// sent.
   void Place(Request* request, absl::Time now, SteeringActions* actions);
+  static PlacementQuery QueryOf(const Request& request);
   Placement Choose(const Request& request, absl::Time now);
   void Start(Request* request,
              const Placement& placement,
@@ -163,6 +171,7 @@
   Balancer balancer_;
   RetryAllowance retries_;
   TrafficSplit split_;
+  DemandMeter demand_;
   steer::CrashSuspects suspects_;
   /// Fingerprints whose connection broke, by server.
   std::map<std::string, std::vector<std::pair<absl::Time, uint64_t>>> broken_;
