Let less urgent routes yield only to urgent requests that were seen

Change: a route yields only while its service had more urgent requests lately; the first choice for an object counts as remembering it.

--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -27,14 +27,6 @@
 
 void Balancer::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
-  best_priority_.clear();
-  config_->ForEachRoute([&](const Route& route) {
-    for (const WeightedService& part : route.services) {
-      const auto [entry, is_new] =
-          best_priority_.emplace(part.service, route.priority);
-      entry->second = std::min(entry->second, route.priority);
-    }
-  });
 }
 
 void Balancer::SetBackends(const BackendSet& set) {
@@ -114,16 +106,25 @@
   return !server->IsCold(now) || server->HasColdRoom(ColdShare(info), now);
 }
 
-int Balancer::BestPriority(absl::string_view service) const {
-  const auto found = best_priority_.find(service);
-  return found == best_priority_.end() ? 0 : found->second;
+bool Balancer::HasMoreUrgent(const PlacementQuery& query,
+                             absl::Time now) const {
+  const auto seen = priorities_seen_.find(query.service);
+  if (seen == priorities_seen_.end()) {
+    return false;
+  }
+  for (const auto& [priority, at] : seen->second) {
+    if (priority < query.route->priority && now - at < kUrgentMemory) {
+      return true;
+    }
+  }
+  return false;
 }
 
 double Balancer::LoadLimit(const PlacementQuery& query,
                            const Candidate& candidate,
                            absl::Time now) const {
   const int slots = candidate.server->server().slots;
-  if (query.route->priority > BestPriority(query.service)) {
+  if (HasMoreUrgent(query, now)) {
     return std::max(1.0, slots * kLessUrgentPart);
   }
   const double part = query.is_return ? kReturnQueuePart : kQueuePart;
@@ -155,8 +156,10 @@
   const double waiting = std::max(0.0, candidate.load + 1 - info.slots);
   const absl::Duration wait = candidate.work * (waiting / info.slots);
   const absl::Duration round_trip = zones_->RoundTrip(info.zone);
+  const double cold_chance =
+      is_remembered ? 0 : (is_first ? kFirstColdChance : 1);
   const absl::Duration own_work =
-      (is_remembered ? work.warm : work.cold) * slowness;
+      (work.warm + (work.cold - work.warm) * cold_chance) * slowness;
   candidate.expected = round_trip + wait + own_work;
   candidate.cost = round_trip + wait * kWaitWeight + own_work +
                    work.cold * server->FailureShare(now);
@@ -200,6 +203,7 @@
   if (of_service == by_service_.end()) {
     return {nullptr, 0, {}, "no-server"};
   }
+  priorities_seen_[std::string(query.service)][query.route->priority] = now;
   const std::string first = FirstChoice(query);
   const WorkTime work = WorkTimeOf(query.service, *query.route);
   Candidate best;
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -55,6 +55,9 @@
   /// Cost of a server that is not the first choice for an object, as a part of
   /// the work; it only decides between servers that are alike otherwise.
   static constexpr double kOtherChoicePart = 0.3;
+  /// Chance that the first choice for an object does not remember it although
+  /// this instance never sent it there: the other instances do.
+  static constexpr double kFirstColdChance = 0.25;
   /// Requests beyond the slots, as a part of them, of which none can be
   /// answered in time: of new requests, and of requests whose caller was
   /// refused before.
@@ -62,8 +65,10 @@
   static constexpr double kReturnQueuePart = 0.8;
   /// Most requests at a server, as a multiple of its slots.
   static constexpr double kMostLoadPart = 3.0;
-  /// Part of the slots open to requests of less urgent routes.
+  /// Part of the slots open to requests of less urgent routes, while more
+  /// urgent ones have come within kUrgentMemory.
   static constexpr double kLessUrgentPart = 0.8;
+  static constexpr absl::Duration kUrgentMemory = absl::Seconds(2);
   /// A server within its first seconds needs this many times as long.
   static constexpr double kColdServerFactor = 2.0;
   /// Instances that may send to a cold server.
@@ -125,7 +130,8 @@
   double LoadLimit(const PlacementQuery& query,
                    const Candidate& candidate,
                    absl::Time now) const;
-  int BestPriority(absl::string_view service) const;
+  /// \returns whether the service lately had requests of a more urgent route.
+  bool HasMoreUrgent(const PlacementQuery& query, absl::Time now) const;
   /// \param is_first whether it is the first choice for the object.
   Candidate Weigh(const PlacementQuery& query,
                   ServerLoad* server,
@@ -145,7 +151,8 @@
   std::set<std::string, std::less<>> evacuated_;
   std::vector<InstanceRecord> instances_;
   absl::flat_hash_map<std::string, RegionPlan> plans_;  ///< By service.
-  absl::flat_hash_map<std::string, int> best_priority_;
+  /// Last request by service and priority.
+  absl::flat_hash_map<std::string, std::map<int, absl::Time>> priorities_seen_;
   WorkTimes work_times_;
 };
 
--- a/packages/gateway/src/routing_config.cc
+++ b/packages/gateway/src/routing_config.cc
@@ -57,15 +57,6 @@
   return nullptr;
 }
 
-void RoutingConfig::ForEachRoute(
-    const std::function<void(const Route&)>& visit) const {
-  for (const auto& [host, routes] : hosts_) {
-    for (const auto& [prefix, route] : routes) {
-      visit(route);
-    }
-  }
-}
-
 const ServiceSpec* RoutingConfig::FindService(absl::string_view name) const {
   const auto found = services_.find(name);
   return found == services_.end() ? nullptr : &found->second;
--- a/packages/gateway/src/routing_config.h
+++ b/packages/gateway/src/routing_config.h
@@ -2,7 +2,6 @@
 #define GATEWAY_SRC_ROUTING_CONFIG_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -78,8 +77,6 @@
   /// \param path without a query.
   const Route* FindRoute(absl::string_view host, absl::string_view path) const;
 
-  void ForEachRoute(const std::function<void(const Route&)>& visit) const;
-
   /// \returns nullptr if the service is not declared.
   const ServiceSpec* FindService(absl::string_view name) const;
 
