--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -127,6 +127,9 @@
   if (HasMoreUrgent(query, now)) {
     return std::max(1.0, slots * kLessUrgentPart);
   }
+  if (query.has_affinity && !candidate.is_known) {
+    return std::max(1.0, slots * kSpillPart);
+  }
   const double part = query.is_return ? kReturnQueuePart : kQueuePart;
   const double late = slots + std::max(1.0, slots * part);
   // As many as leave the answer within the objective.
@@ -152,6 +155,7 @@
   Candidate candidate;
   candidate.server = server;
   candidate.load = server->Total(now);
+  candidate.is_known = is_remembered || is_first;
   candidate.work = work.warm * slowness;
   const double waiting = std::max(0.0, candidate.load + 1 - info.slots);
   const absl::Duration wait = candidate.work * (waiting / info.slots);
@@ -171,7 +175,8 @@
   return candidate;
 }
 
-std::string Balancer::FirstChoice(const PlacementQuery& query) const {
+std::string Balancer::FirstChoice(const PlacementQuery& query,
+                                  absl::Time now) const {
   const auto of_service = by_service_.find(query.service);
   if (!query.has_affinity || of_service == by_service_.end()) {
     return "";
@@ -185,7 +190,8 @@
   absl::string_view best;
   for (const std::shared_ptr<ServerLoad>& server : of_service->second) {
     const BackendServer& info = server->server();
-    if (info.is_draining || evacuated_.count(info.zone) > 0 ||
+    if (info.is_draining || server->IsPaused(now) || server->IsCold(now) ||
+        evacuated_.count(info.zone) > 0 ||
         zones_->RegionOf(info.zone) != home) {
       continue;
     }
@@ -204,7 +210,7 @@
     return {nullptr, 0, {}, "no-server"};
   }
   priorities_seen_[std::string(query.service)][query.route->priority] = now;
-  const std::string first = FirstChoice(query);
+  const std::string first = FirstChoice(query, now);
   const WorkTime work = WorkTimeOf(query.service, *query.route);
   Candidate best;
   absl::string_view refusal = "no-usable-server";
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -58,6 +58,10 @@
   /// Chance that the first choice for an object does not remember it although
   /// this instance never sent it there: the other instances do.
   static constexpr double kFirstColdChance = 0.25;
+  /// Part of the slots of a server open to objects that it does not remember
+  /// and that belong elsewhere: they take long and displace others, and under
+  /// load no server would remember anything.
+  static constexpr double kSpillPart = 0.5;
   /// Requests beyond the slots, as a part of them, of which none can be
   /// answered in time: of new requests, and of requests whose caller was
   /// refused before.
@@ -120,7 +124,8 @@
     double load = 0;
     absl::Duration expected;
     absl::Duration cost;
-    absl::Duration work;  ///< Of each request at the server.
+    absl::Duration work;    ///< Of each request at the server.
+    bool is_known = false;  ///< It remembers the object, or will.
   };
 
   bool IsUsable(const PlacementQuery& query,
@@ -139,7 +144,7 @@
                   const WorkTime& work,
                   absl::Time now) const;
   /// \returns the first choice for the query's object; empty: none.
-  std::string FirstChoice(const PlacementQuery& query) const;
+  std::string FirstChoice(const PlacementQuery& query, absl::Time now) const;
 
   ZoneMap* zones_;
   std::string self_;
