--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -124,9 +124,6 @@
                            const Candidate& candidate,
                            absl::Time now) const {
   const int slots = candidate.server->server().slots;
-  if (HasMoreUrgent(query, now)) {
-    return std::max(1.0, slots * kLessUrgentPart);
-  }
   if (query.has_affinity && !candidate.is_known) {
     return std::max(1.0, slots * kSpillPart);
   }
@@ -139,7 +136,8 @@
       query.objective - now - round_trip - candidate.work;
   const double in_time =
       slots * (1 + absl::FDivDuration(slack, candidate.work));
-  return std::clamp(in_time, late, slots * kMostLoadPart);
+  const double limit = std::clamp(in_time, late, slots * kMostLoadPart);
+  return HasMoreUrgent(query, now) ? std::max(1.0, limit - kUrgentRoom) : limit;
 }
 
 Balancer::Candidate Balancer::Weigh(const PlacementQuery& query,
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -69,9 +69,9 @@
   static constexpr double kReturnQueuePart = 0.8;
   /// Most requests at a server, as a multiple of its slots.
   static constexpr double kMostLoadPart = 3.0;
-  /// Part of the slots open to requests of less urgent routes, while more
+  /// Room at each server, in requests, that less urgent routes leave while more
   /// urgent ones have come within kUrgentMemory.
-  static constexpr double kLessUrgentPart = 0.8;
+  static constexpr double kUrgentRoom = 1.0;
   static constexpr absl::Duration kUrgentMemory = absl::Seconds(2);
   /// A server within its first seconds needs this many times as long.
   static constexpr double kColdServerFactor = 2.0;
