--- /dev/null
+++ b/test/gateway_load_test.cc
@@ -0,0 +1,105 @@
+#include <catch2/catch.hpp>
+
+#include "gateway_world.h"
+
+namespace baobabwall::gateway {
+namespace {
+
+/// Three regions with two zones each; one region holds an eighth of the
+/// servers and a third of the callers.
+/// \param load work of all callers over all slots, if no run were warm.
+WorldSettings UnevenRegions(double load) {
+  WorldSettings settings;
+  settings.zones = {
+      {"a-1", "a", 2, 1, 0}, {"a-2", "a", 1, 1, 0}, {"b-1", "b", 2, 3, 0},
+      {"b-2", "b", 1, 3, 0}, {"c-1", "c", 2, 4, 0}, {"c-2", "c", 1, 4, 0},
+  };
+  const int servers = 16;
+  const double per_s = load * servers * settings.slots /
+                       absl::ToDoubleSeconds(settings.cold_work);
+  for (WorldZone& zone : settings.zones) {
+    zone.requests_per_s = per_s / settings.zones.size();
+  }
+  return settings;
+}
+
+void Print(const char* pattern, const WorldResult& result) {
+  WARN(pattern << ": asked=" << result.asked << " in_time="
+               << result.InTimeShare() << " refused=" << result.RefusedShare()
+               << " failed=" << result.failed
+               << " warm=" << result.WarmShare());
+}
+
+// Guards against objects that wander between servers: when most runs find a
+// server that does not remember, the same load needs three times the slots.
+TEST_CASE("pattern: offered work of 1.5 times the slots, all objects known") {
+  GatewayWorld world(UnevenRegions(1.5));
+  world.Run();
+  const WorldResult result = world.total();
+  Print("1.5 x slots", result);
+  CHECK(result.WarmShare() >= 0.9);
+  CHECK(result.InTimeShare() >= 0.85);
+  CHECK(result.RefusedShare() <= 0.02);
+}
+
+// Guards against the region with few servers and many callers being the one
+// that is served badly.
+TEST_CASE("pattern: a region with a third of the callers, an eighth of slots") {
+  GatewayWorld world(UnevenRegions(1.0));
+  world.Run();
+  Print("uneven regions", world.total());
+  for (const auto& [zone, result] : world.by_zone()) {
+    INFO(zone);
+    CHECK(result.InTimeShare() >= 0.85);
+    CHECK(result.RefusedShare() <= 0.02);
+  }
+}
+
+// Guards against a route that is hardly used, but more urgent, taking room from
+// the busy one all the time.
+TEST_CASE("pattern: a trickle of urgent requests beside a busy route") {
+  GatewayWorld world(UnevenRegions(1.2));
+  world.AddUrgentTrickle(absl::Seconds(1));
+  world.Run();
+  const WorldResult result = world.total();
+  Print("urgent trickle", result);
+  CHECK(result.InTimeShare() >= 0.85);
+  CHECK(result.RefusedShare() <= 0.02);
+}
+
+// Guards against refusals while servers have room.
+TEST_CASE("pattern: half of the load that the slots carry") {
+  GatewayWorld world(UnevenRegions(0.5));
+  world.Run();
+  const WorldResult result = world.total();
+  Print("half load", result);
+  CHECK(result.RefusedShare() <= 0.001);
+  CHECK(result.InTimeShare() >= 0.9);
+}
+
+// Guards against staying with a server that has become several times slower.
+TEST_CASE("pattern: two servers of sixteen turn slow") {
+  GatewayWorld world(UnevenRegions(0.8));
+  world.SlowServer(3, 6, absl::Seconds(6));
+  world.SlowServer(9, 6, absl::Seconds(6));
+  world.Run();
+  const WorldResult result = world.total();
+  Print("two slow servers", result);
+  CHECK(result.InTimeShare() >= 0.8);
+}
+
+// Guards against a long disturbance when servers leave and their objects need
+// another server.
+TEST_CASE("pattern: two servers of sixteen leave under load") {
+  GatewayWorld world(UnevenRegions(1.0));
+  world.StopServer(5, absl::Seconds(8));
+  world.StopServer(12, absl::Seconds(8));
+  world.Run();
+  const WorldResult result = world.total();
+  Print("two servers leave", result);
+  CHECK(result.InTimeShare() >= 0.8);
+  CHECK(result.RefusedShare() <= 0.05);
+}
+
+}  // namespace
+}  // namespace baobabwall::gateway
