--- /dev/null
+++ b/test/shared_state_test.cc
@@ -0,0 +1,254 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "gateway/gateway.h"
+
+namespace baobabwall::gateway {
+namespace {
+
+using control::StoreAnswer;
+using control::StoreRequest;
+using control::StoreStatus;
+
+const absl::Time kStart = absl::FromUnixSeconds(1'000'000);
+
+StoreAnswer Ok(int64_t revision = 1) {
+  StoreAnswer answer;
+  answer.status = StoreStatus::kOk;
+  answer.revision = revision;
+  return answer;
+}
+
+StoreAnswer Failed(StoreStatus status) {
+  StoreAnswer answer;
+  answer.status = status;
+  return answer;
+}
+
+class Reader {
+ public:
+  Reader()
+      : reader(
+            "",
+            1,
+            {[this](const control::StoreKeyValue& item, bool) {
+               changes.push_back(item.key);
+             },
+             [this](const std::vector<std::string>& keys) { complete = keys; },
+             [this] { ++lost; }, [this] { ++returned; }}) {}
+
+  template <typename Call>
+  Call Next(absl::Time now) {
+    const auto call = reader.NextCall(now);
+    REQUIRE(call.has_value());
+    REQUIRE(std::holds_alternative<Call>(*call));
+    return std::get<Call>(*call);
+  }
+
+  std::vector<std::string> changes;
+  std::vector<std::string> complete;
+  int lost = 0;
+  int returned = 0;
+  StateReader reader;
+};
+
+// Guards against changes that fall between the pages of a read, or between the
+// read and the watch.
+TEST_CASE("a watch begins at the revision of the first page") {
+  Reader r;
+  r.Next<control::StoreRange>(kStart);
+  StoreAnswer page = Ok(10);
+  page.key_values = {{"a", "", 3, false}};
+  page.has_more = true;
+  r.reader.OnAnswer(page, kStart);
+  CHECK_FALSE(r.reader.is_read());
+  CHECK(r.Next<control::StoreRange>(kStart).after == "a");
+  StoreAnswer last = Ok(12);
+  last.key_values = {{"b", "", 11, false}};
+  r.reader.OnAnswer(last, kStart);
+  CHECK(r.reader.is_read());
+  CHECK(r.complete == std::vector<std::string>{"a", "b"});
+  CHECK(r.Next<control::StoreWatch>(kStart).after_revision == 10);
+}
+
+// Guards against a reader that stays deaf once the store forgot its history.
+TEST_CASE("a forgotten history is read anew") {
+  Reader r;
+  r.Next<control::StoreRange>(kStart);
+  r.reader.OnAnswer(Ok(5), kStart);
+  r.Next<control::StoreWatch>(kStart);
+  r.reader.OnAnswer(Failed(StoreStatus::kHistoryGone), kStart);
+  CHECK(r.Next<control::StoreRange>(kStart).after.empty());
+}
+
+// Guards against a store that is called without pause while it is down, and
+// against a return that nobody notices.
+TEST_CASE("an outage is retried with growing pauses and reported once") {
+  Reader r;
+  r.Next<control::StoreRange>(kStart);
+  r.reader.OnAnswer(Ok(5), kStart);
+  absl::Time now = kStart;
+  int calls = 0;
+  for (; now < kStart + absl::Seconds(10); now += absl::Milliseconds(50)) {
+    if (r.reader.NextCall(now)) {
+      ++calls;
+      r.reader.OnAnswer(Failed(StoreStatus::kRefused), now);
+    }
+  }
+  CHECK(calls <= 20);
+  CHECK(r.lost == 1);
+  r.reader.OnStoreSeen(true, now);
+  CHECK(r.Next<control::StoreWatch>(now).timeout < absl::Seconds(1));
+  r.reader.OnAnswer(Ok(9), now);
+  CHECK(r.returned == 1);
+  CHECK(r.Next<control::StoreWatch>(now).timeout == StateReader::kWatch);
+}
+
+InstanceRecord Self() {
+  InstanceRecord record;
+  record.name = "self";
+  record.incarnation = 7;
+  record.zone = "a-1";
+  record.region = "a";
+  record.callers = {"10.0.0.1", 80};
+  return record;
+}
+
+// Guards against an instance that nobody finds again after its lease lapsed,
+// its record was removed, or the answer to its write was lost.
+TEST_CASE("an instance keeps its record") {
+  Registration registration(Self(), 1);
+  const auto next = [&](absl::Time now) { return registration.NextCall(now); };
+  REQUIRE(std::holds_alternative<control::StoreLeaseGrant>(*next(kStart)));
+  StoreAnswer grant = Ok();
+  grant.lease = 42;
+  registration.OnAnswer(grant, kStart);
+  const auto put = std::get<control::StoreCompareAndSwap>(*next(kStart));
+  CHECK(put.key == Self().Key());
+  CHECK(put.lease == 42);
+  CHECK(put.expected_revision == 0);
+  SECTION("the answer to the write was lost") {
+    registration.OnAnswer(Failed(StoreStatus::kUnknown), kStart);
+    const absl::Time later = kStart + absl::Seconds(1);
+    REQUIRE(std::holds_alternative<control::StoreCompareAndSwap>(*next(later)));
+    registration.OnAnswer(Failed(StoreStatus::kConflict), later);
+    CHECK(registration.is_registered());
+  }
+  SECTION("the lease has lapsed") {
+    registration.OnAnswer(Ok(), kStart);
+    CHECK(registration.is_registered());
+    const absl::Time later = kStart + Registration::kRenewal * 1.2;
+    REQUIRE(std::holds_alternative<control::StoreLeaseKeepAlive>(*next(later)));
+    registration.OnAnswer(Failed(StoreStatus::kNotFound), later);
+    CHECK(std::holds_alternative<control::StoreLeaseGrant>(*next(later)));
+  }
+  SECTION("the record was removed") {
+    registration.OnAnswer(Ok(), kStart);
+    registration.OnRecordRemoved(kStart);
+    CHECK(std::holds_alternative<control::StoreLeaseGrant>(*next(kStart)));
+  }
+  SECTION("it leaves") {
+    registration.OnAnswer(Ok(), kStart);
+    registration.Leave(kStart);
+    REQUIRE(std::holds_alternative<control::StoreLeaseEnd>(*next(kStart)));
+    registration.OnAnswer(Ok(), kStart);
+    CHECK(registration.has_left());
+    CHECK_FALSE(next(kStart + absl::Seconds(9)).has_value());
+  }
+}
+
+/// A control side whose store answers are written by the test.
+class Control {
+ public:
+  Control()
+      : control(Self(),
+                1,
+                {[this](const control::StoreKeyValue& item) {
+                   return Decode(item);
+                 },
+                 [this](control::StoreCall call) {
+                   calls.push_back(std::move(call));
+                 },
+                 [this](std::shared_ptr<const ControlView> published) {
+                   view = std::move(published);
+                 },
+                 [](const std::string&) {}}) {}
+
+  /// Keys "config" with a version as value, and "server/ID".
+  std::optional<StateChange> Decode(const control::StoreKeyValue& item) {
+    if (item.key == "config") {
+      RoutingConfig::Builder builder;
+      builder.Version(std::stoll(item.value));
+      return ConfigWritten{builder.Build()};
+    }
+    if (item.is_deleted) {
+      return BackendRemoved{item.key};
+    }
+    BackendServer server;
+    server.id = item.key;
+    return BackendWritten{server};
+  }
+
+  /// Answers the pending read or watch.
+  void AnswerReader(StoreAnswer answer, absl::Time now) {
+    control.OnTick(now);
+    for (size_t i = 0; i < calls.size(); ++i) {
+      const bool is_reader =
+          std::holds_alternative<control::StoreRange>(calls[i].request) ||
+          std::holds_alternative<control::StoreWatch>(calls[i].request);
+      if (!is_reader) {
+        continue;
+      }
+      answer.id = calls[i].id;
+      calls.erase(calls.begin() + i);
+      control.OnStoreAnswer(answer, now);
+      return;
+    }
+    FAIL("no read is pending");
+  }
+
+  std::vector<control::StoreCall> calls;
+  std::shared_ptr<const ControlView> view;
+  GatewayControl control;
+};
+
+// Guards against a configuration that is taken back by a stale read.
+TEST_CASE("a configuration in force is never taken back") {
+  Control c;
+  StoreAnswer first = Ok(5);
+  first.key_values = {{"config", "7", 5, false}};
+  c.AnswerReader(first, kStart);
+  REQUIRE(c.view != nullptr);
+  CHECK(c.view->config->version() == 7);
+  StoreAnswer old = Ok(6);
+  old.key_values = {{"config", "6", 6, false}, {"x", "", 6, false}};
+  c.AnswerReader(old, kStart + absl::Seconds(1));
+  CHECK(c.view->config->version() == 7);
+  CHECK(c.view->backends->servers.count("x") == 1);
+  StoreAnswer next = Ok(7);
+  next.key_values = {{"config", "12", 7, false}};
+  c.AnswerReader(next, kStart + absl::Seconds(2));
+  CHECK(c.view->config->version() == 12);
+}
+
+// Guards against an empty view while the store can't be read, and against
+// servers lost by an outage.
+TEST_CASE("servers whose entries lapsed in an outage stay in the view") {
+  Control c;
+  StoreAnswer first = Ok(5);
+  first.key_values = {{"config", "7", 5, false}, {"x", "", 5, false}};
+  c.AnswerReader(first, kStart);
+  absl::Time now = kStart + absl::Seconds(3);
+  c.AnswerReader(Failed(StoreStatus::kUnknown), now);
+  now += absl::Seconds(4);
+  StoreAnswer lapse = Ok(9);
+  lapse.key_values = {{"x", "", 9, true}};
+  c.AnswerReader(lapse, now);
+  CHECK(c.view->backends->servers.count("x") == 1);
+  c.control.OnTick(now + BackendRegistry::kOutageGrace);
+  CHECK(c.view->backends->servers.count("x") == 0);
+}
+
+}  // namespace
+}  // namespace baobabwall::gateway
--- /dev/null
+++ b/test/steering_test.cc
@@ -0,0 +1,268 @@
+#include "gateway/src/steering.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace baobabwall::gateway {
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1'000'000);
+
+/// One instance, four servers, an idempotent and a non-idempotent route.
+class Fixture {
+ public:
+  Fixture()
+      : zones({{"a-1", "a"}}, "a-1"),
+        steering(
+            &zones,
+            "self",
+            1,
+            {[this](const RequestRecord& record) {
+               statuses[record.request->id] = record.status;
+             },
+             [this](uint64_t fingerprint) { crashing.insert(fingerprint); }}) {
+    RoutingConfig::Builder builder;
+    builder.Version(1).AddService({"s", "/health", 330, absl::Seconds(3), 8});
+    for (const bool is_idempotent : {true, false}) {
+      Route route;
+      route.name = is_idempotent ? "read" : "book";
+      route.prefix = is_idempotent ? "/read/" : "/book/";
+      route.is_idempotent = is_idempotent;
+      route.timeout = absl::Seconds(1);
+      route.latency_objective = absl::Milliseconds(300);
+      route.max_attempts = 2;
+      route.services = {{"s", 1}};
+      builder.AddRoute("h", route);
+    }
+    steering.SetConfig(builder.Build());
+    InstanceRecord self;
+    self.name = "self";
+    self.zone = "a-1";
+    self.region = "a";
+    steering.SetInstances({self});
+    PublishServers(4);
+  }
+
+  void PublishServers(int count) {
+    BackendSet set;
+    for (int i = 0; i < count; ++i) {
+      BackendServer server;
+      server.id = "server-" + std::to_string(i);
+      server.service = "s";
+      server.zone = "a-1";
+      server.slots = 5;
+      set.servers.emplace(server.id, server);
+    }
+    steering.SetBackends(set);
+  }
+
+  SteeringActions Send(absl::string_view path, RequestId id) {
+    CallerRequest request;
+    request.id = id;
+    request.host = "h";
+    request.path = std::string(path);
+    request.fingerprint = 77;
+    request.time_left = absl::Seconds(2);
+    request.arrival = now;
+    return steering.OnRequest(request, now);
+  }
+
+  SteeringActions End(AttemptId attempt, AttemptResult result, int status) {
+    AttemptEnd end;
+    end.attempt = attempt;
+    end.result = result;
+    end.status = status;
+    return steering.OnAttemptEnd(end, now);
+  }
+
+  template <typename Action>
+  static const Action* Find(const SteeringActions& actions) {
+    for (const SteeringAction& action : actions) {
+      if (const auto* found = std::get_if<Action>(&action)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  absl::Time now = kStart;
+  std::map<RequestId, int> statuses;
+  std::set<uint64_t> crashing;
+  ZoneMap zones;
+  Steering steering;
+};
+
+using Broken = std::pair<AttemptResult, int>;
+
+// Guards against a booking that runs twice or is called not run although it may
+// have run.
+TEST_CASE("a lost non-idempotent attempt is never repeated") {
+  for (const auto& [result, status] :
+       {Broken{AttemptResult::kBroken, 0}, Broken{AttemptResult::kTruncated, 0},
+        Broken{AttemptResult::kTimedOut, 0}}) {
+    Fixture f;
+    const auto start = f.Send("/book/1", 1);
+    REQUIRE(Fixture::Find<StartAttempt>(start) != nullptr);
+    const auto end =
+        f.End(Fixture::Find<StartAttempt>(start)->attempt, result, status);
+    CHECK(Fixture::Find<StartAttempt>(end) == nullptr);
+    REQUIRE(Fixture::Find<Refuse>(end) != nullptr);
+    CHECK(Fixture::Find<Refuse>(end)->status == 502);
+  }
+}
+
+// Guards against refusing what another server can still run.
+TEST_CASE("an attempt that was not run goes to another server") {
+  Fixture f;
+  const auto first = f.Send("/book/1", 1);
+  const StartAttempt* start = Fixture::Find<StartAttempt>(first);
+  REQUIRE(start != nullptr);
+  const auto second = f.End(start->attempt, AttemptResult::kRefused, 503);
+  const StartAttempt* again = Fixture::Find<StartAttempt>(second);
+  REQUIRE(again != nullptr);
+  CHECK(again->server != start->server);
+  const auto third = f.End(again->attempt, AttemptResult::kRefused, 503);
+  const Refuse* refuse = Fixture::Find<Refuse>(third);
+  REQUIRE(refuse != nullptr);
+  CHECK(refuse->status == 503);
+  CHECK(refuse->retry_after.has_value());
+}
+
+// Guards against 404 for what a configuration that is not known yet allows.
+TEST_CASE("an instance without a configuration refuses with 503") {
+  ZoneMap zones({{"a-1", "a"}}, "a-1");
+  Steering steering(&zones, "self", 1, {});
+  CallerRequest request;
+  request.id = 1;
+  request.arrival = kStart;
+  const auto actions = steering.OnRequest(request, kStart);
+  REQUIRE(Fixture::Find<Refuse>(actions) != nullptr);
+  CHECK(Fixture::Find<Refuse>(actions)->status == 503);
+}
+
+// Guards against callers that wait beyond the route's timeout.
+TEST_CASE("a request is answered at its route's timeout") {
+  Fixture f;
+  const auto start = f.Send("/book/1", 1);
+  f.now += absl::Milliseconds(990);
+  CHECK(f.steering.OnTick(f.now).empty());
+  f.now += absl::Milliseconds(10);
+  const auto end = f.steering.OnTick(f.now);
+  REQUIRE(Fixture::Find<Refuse>(end) != nullptr);
+  CHECK(Fixture::Find<Refuse>(end)->status == 504);
+  CHECK(Fixture::Find<AbortAttempt>(end) != nullptr);
+}
+
+// Guards against work that goes on after its caller has left, and against a
+// booking that is broken off half done.
+TEST_CASE("a caller that leaves stops repeatable work only") {
+  Fixture f;
+  f.Send("/read/1", 1);
+  CHECK(Fixture::Find<AbortAttempt>(f.steering.OnCallerGone(1, f.now)) !=
+        nullptr);
+  f.Send("/book/1", 2);
+  CHECK(f.steering.OnCallerGone(2, f.now).empty());
+  CHECK(f.steering.in_flight() == 1);
+}
+
+// Guards against a request that takes down one server after the other.
+TEST_CASE("a request that crashes servers is stopped and reported") {
+  Fixture f;
+  int starts = 0;
+  for (RequestId id = 1; id <= 12; ++id) {
+    f.now += absl::Milliseconds(100);
+    auto actions = f.Send("/read/poison", id);
+    while (const auto* start = Fixture::Find<StartAttempt>(actions)) {
+      ++starts;
+      const AttemptId attempt = start->attempt;
+      const std::string server = start->server;
+      actions = f.End(attempt, AttemptResult::kBroken, 0);
+      // Another request finds that the server is gone.
+      const auto probe = f.Send("/read/poison", 1000 + starts);
+      if (const auto* other = Fixture::Find<StartAttempt>(probe)) {
+        f.End(other->attempt, AttemptResult::kConnectFailed, 0);
+      }
+    }
+  }
+  CHECK(f.crashing.count(77) == 1);
+  CHECK(starts <= 6);
+}
+
+/// What a random run may do to an attempt.
+constexpr AttemptResult kResults[] = {
+    AttemptResult::kCompleted, AttemptResult::kRefused, AttemptResult::kBroken,
+    AttemptResult::kConnectFailed, AttemptResult::kTruncated};
+
+// Guards against requests that end twice or never, non-idempotent ones that may
+// run twice, a false "not run", and counts of requests in flight that drift.
+TEST_CASE("random outcomes keep the promises of a request") {
+  CHECK(rc::check([](const std::vector<uint8_t>& steps) {
+    Fixture f;
+    struct Known {
+      bool is_idempotent = false;
+      int possible_runs = 0;
+      int answers = 0;
+      bool is_gone = false;
+    };
+    std::map<RequestId, Known> known;
+    std::map<AttemptId, RequestId> open;
+    RequestId last = 0;
+    const auto perform = [&](const SteeringActions& actions) {
+      for (const SteeringAction& action : actions) {
+        if (const auto* start = std::get_if<StartAttempt>(&action)) {
+          open[start->attempt] = start->request;
+          RC_ASSERT(start->time_left <= absl::Seconds(1));
+        } else if (const auto* abort = std::get_if<AbortAttempt>(&action)) {
+          ++known[abort->request].possible_runs;
+          open.erase(abort->attempt);
+        } else if (const auto* answer = std::get_if<DeliverAnswer>(&action)) {
+          ++known[answer->request].answers;
+        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+          Known& request = known[refuse->request];
+          ++request.answers;
+          if (refuse->status == 503) {
+            RC_ASSERT(request.possible_runs == 0);
+          }
+        }
+      }
+    };
+    for (const uint8_t step : steps) {
+      f.now += absl::Milliseconds(step % 64);
+      if (step % 4 == 0 || open.empty()) {
+        known[++last].is_idempotent = step % 8 == 0;
+        perform(f.Send(step % 8 == 0 ? "/read/1" : "/book/1", last));
+      } else if (step % 4 == 1) {
+        perform(f.steering.OnTick(f.now));
+      } else if (step % 16 == 2) {
+        const RequestId id = open.begin()->second;
+        known[id].is_gone = true;
+        perform(f.steering.OnCallerGone(id, f.now));
+      } else {
+        const auto [attempt, id] = *open.begin();
+        open.erase(attempt);
+        const AttemptResult result = kResults[step % std::size(kResults)];
+        const bool may_have_run = result != AttemptResult::kRefused &&
+                                  result != AttemptResult::kConnectFailed;
+        known[id].possible_runs += may_have_run ? 1 : 0;
+        perform(f.End(attempt, result,
+                      result == AttemptResult::kCompleted ? 200 : 503));
+      }
+      for (const auto& [id, request] : known) {
+        RC_ASSERT(request.answers <= 1);
+        RC_ASSERT(request.is_idempotent || request.possible_runs <= 1);
+      }
+    }
+    f.now += absl::Seconds(2);
+    perform(f.steering.OnTick(f.now));
+    RC_ASSERT(f.steering.in_flight() == 0);
+    RC_ASSERT(f.steering.balancer().OwnLoads().empty());
+    for (const auto& [id, request] : known) {
+      RC_ASSERT(request.answers == 1 || request.is_gone);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace baobabwall::gateway
