--- /dev/null
+++ b/test/platform_codec_test.cc
@@ -0,0 +1,224 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "mutate.h"
+#include "platform/platform.h"
+#include "transport/transport.h"
+
+namespace baobabwall::platform {
+namespace {
+
+using control::StoreStatus;
+using edge::HttpResponse;
+using nlohmann::json;
+
+constexpr char kConfig[] = R"({"version":7,"base_version":5,
+  "services":[{"name":"rooms","health_check_path":"/health",
+    "max_connections":330,"protocol":"h1","warmup_s":3.0,"cold_per_s":7.9}],
+  "limits":{"max_header_bytes":1000,"max_body_bytes":2000,
+    "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "virtual_hosts":[{"host":"h.example","paths":[
+    {"name":"r1","prefix":"/a/","route_type":"non_idempotent",
+     "timeout_ms":2000,"target_latency_ms":500,"priority":1,"service":"rooms",
+     "max_attempts":2,"session_affinity":true,"allowed_regions":["amba"]},
+    {"name":"r2","prefix":"/b/","route_type":"download","timeout_ms":1500,
+     "priority":2,"traffic_split":[{"service":"rooms","weight":90},
+       {"service":"other","weight":10}],"max_attempts":3},
+    {"name":"r3","prefix":"/c/","route_type":5,"timeout_ms":1}]}]})";
+
+constexpr char kServer[] = R"({"service":"rooms","address":"10.1.0.9:8080",
+  "zone":"amba-palermo","version":"v1","capacity_slots":5,"state":"ready",
+  "warmup_left_ms":2000,"sequence":4,"born":1780000000000})";
+
+control::StoreKeyValue Item(const std::string& key, const std::string& value) {
+  control::StoreKeyValue item;
+  item.key = key;
+  item.value = value;
+  item.revision = 3;
+  return item;
+}
+
+HttpResponse Answer(int status, const std::string& body) {
+  HttpResponse answer(edge::http::int_to_status(status), 11);
+  answer.body() = body;
+  return answer;
+}
+
+// Guards against fields that are read under another meaning, and against one
+// unknown route that takes the others with it.
+TEST_CASE("a configuration is decoded once into the product's types") {
+  const auto change = DecodeStateChange(Item("op/config", kConfig));
+  REQUIRE(change.has_value());
+  const auto& config = *std::get<gateway::ConfigWritten>(*change).config;
+  CHECK(config.version() == 7);
+  CHECK(config.route_count() == 2);
+  CHECK(config.limits().body_bytes == 2000);
+  CHECK(config.limits().idle_timeout == absl::Seconds(15));
+  const gateway::Route* booking = config.FindRoute("h.example", "/a/x");
+  REQUIRE(booking != nullptr);
+  CHECK_FALSE(booking->is_idempotent);
+  CHECK(booking->timeout == absl::Seconds(2));
+  CHECK(booking->latency_objective == absl::Milliseconds(500));
+  CHECK(booking->has_affinity);
+  CHECK(booking->allowed_regions == std::vector<std::string>{"amba"});
+  const gateway::Route* download = config.FindRoute("h.example", "/b/x");
+  REQUIRE(download != nullptr);
+  CHECK(download->is_idempotent);
+  CHECK(download->is_bulk);
+  CHECK(download->services.size() == 2);
+  CHECK(download->services[1].weight == 10);
+  REQUIRE(config.FindService("rooms") != nullptr);
+  CHECK(config.FindService("rooms")->cold_rate_per_s == Approx(7.9));
+}
+
+// Guards against foreign or damaged entries that name a server or crash the
+// reader.
+TEST_CASE("an entry names a server only if all of it can be read") {
+  const auto change = DecodeStateChange(Item("servers/i-1", kServer));
+  REQUIRE(change.has_value());
+  const auto& server = std::get<gateway::BackendWritten>(*change).server;
+  CHECK(server.id == "i-1");
+  CHECK(server.endpoint.port == 8080);
+  CHECK(server.slots == 5);
+  CHECK(server.incarnation == 1780000000000);
+  CHECK(server.cold_until > transport::SteadyNow() + absl::Seconds(1));
+  for (const char* field :
+       {"service", "address", "zone", "capacity_slots", "state"}) {
+    json entry = json::parse(kServer);
+    entry.erase(field);
+    const auto missing = DecodeStateChange(Item("servers/i-1", entry.dump()));
+    CHECK(std::holds_alternative<gateway::BackendRemoved>(*missing));
+    entry[field] = json::array({1});
+    const auto other = DecodeStateChange(Item("servers/i-1", entry.dump()));
+    CHECK(std::holds_alternative<gateway::BackendRemoved>(*other));
+  }
+  json entry = json::parse(kServer);
+  entry["state"] = "resting";
+  CHECK(std::holds_alternative<gateway::BackendRemoved>(
+      *DecodeStateChange(Item("servers/i-1", entry.dump()))));
+}
+
+// Guards against crashes of the reader by any bytes under any key.
+TEST_CASE("damaged values do no harm") {
+  CHECK(rc::check([](uint16_t at, uint8_t value, bool is_config) {
+    std::string text = is_config ? kConfig : kServer;
+    text[at % text.size()] = static_cast<char>(value);
+    DecodeStateChange(Item(is_config ? "op/config" : "servers/i-1", text));
+  }));
+  CHECK(rc::check([](const std::string& bytes) {
+    for (const char* key : {"op/config", "servers/x", "op/evacuate/z",
+                            "baobabwall/instances/x", "baobabwall/crashes/x"}) {
+      DecodeStateChange(Item(key, bytes));
+    }
+    DecodeStoreAnswer(control::StoreGet{}, Answer(200, bytes));
+  }));
+}
+
+TEST_CASE("an evacuation holds while its key exists") {
+  control::StoreKeyValue item = Item("op/evacuate/amba-palermo", "{}");
+  auto change = std::get<gateway::EvacuationChanged>(*DecodeStateChange(item));
+  CHECK(change.zone == "amba-palermo");
+  CHECK(change.is_evacuated);
+  item.is_deleted = true;
+  change = std::get<gateway::EvacuationChanged>(*DecodeStateChange(item));
+  CHECK_FALSE(change.is_evacuated);
+}
+
+// Guards against calls that the store refuses, and keys that need escaping.
+TEST_CASE("calls are encoded as the store takes them") {
+  control::StoreRange range;
+  range.prefix = "a b/";
+  range.after = "a b/c&d";
+  CHECK(EncodeStoreRequest(range).target() ==
+        "/baobabwall/kv-range?prefix=a%20b/&after=a%20b/c%26d");
+  const control::StoreWatch watch = {"", 41, absl::Seconds(20)};
+  CHECK(EncodeStoreRequest(watch).target() ==
+        "/baobabwall/kv-watch?prefix=&after=41&wait_ms=20000");
+  control::StoreCompareAndSwap put;
+  put.key = "k";
+  put.value = "node-1";
+  put.lease = 9;
+  const auto request = EncodeStoreRequest(put);
+  CHECK(request.target() == "/baobabwall/kv-txn");
+  const json body = json::parse(request.body());
+  CHECK(body["expect"][0]["rev"] == 0);
+  CHECK(body["puts"][0]["value"] == absl::Base64Escape("node-1"));
+  CHECK(body["puts"][0]["lease"] == 9);
+  CHECK(EncodeStoreRequest(control::StoreLeaseEnd{7}).method() ==
+        edge::http::verb::delete_);
+}
+
+// Guards against a refusal that is taken for a loss, and a loss for an answer.
+TEST_CASE("answers of the store keep their meaning") {
+  const auto status = [](int code, const std::string& body) {
+    return DecodeStoreAnswer(control::StoreRange{}, Answer(code, body)).status;
+  };
+  CHECK(status(200, R"({"items":[],"more_pages":false,"current_rev":5})") ==
+        StoreStatus::kOk);
+  CHECK(status(410, "") == StoreStatus::kHistoryGone);
+  CHECK(status(412, R"({"items":[]})") == StoreStatus::kConflict);
+  CHECK(status(404, "") == StoreStatus::kNotFound);
+  CHECK(status(429, "") == StoreStatus::kRefused);
+  CHECK(status(503, "") == StoreStatus::kRefused);
+  CHECK(status(500, "") == StoreStatus::kUnknown);
+  CHECK(status(200, "cut") == StoreStatus::kUnknown);
+  CHECK(status(200, R"({"items":[{"key":5}]})") == StoreStatus::kUnknown);
+  const auto events = DecodeStoreAnswer(
+      control::StoreWatch{},
+      Answer(200, R"({"events":[{"key":"a","value":"bm9kZS0x","rev":412,)"
+                  R"("created_rev":412,"lease":7},)"
+                  R"({"key":"b","rev":413,"deleted":true}],)"
+                  R"("current_rev":413})"));
+  REQUIRE(events.key_values.size() == 2);
+  CHECK(events.key_values[0].value == "node-1");
+  CHECK(events.key_values[1].is_deleted);
+  CHECK(events.revision == 413);
+}
+
+// Guards against headers of one connection that travel on, and a deadline that
+// is handed on as it came.
+TEST_CASE("a request is forwarded with the time that is left") {
+  edge::HttpRequest request(edge::http::verb::get, "/a/x?y=1", 11);
+  request.set("Host", "h.example:80");
+  request.set("X-Request-Id", "id-1");
+  request.set("X-Deadline-Ms", "2500");
+  request.set("Cookie", "a=b; X-Affinity-Key=17");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  const gateway::CallerRequest read = ReadRequest(request);
+  CHECK(read.host == "h.example");
+  CHECK(read.path == "/a/x");
+  CHECK(read.time_left == absl::Milliseconds(2500));
+  CHECK(read.object != 0);
+  const auto forward = ForwardRequest(request, "i-1", absl::Milliseconds(1234));
+  CHECK(forward["X-Deadline-Ms"] == "1234");
+  CHECK(forward["X-Expect-Instance"] == "i-1");
+  CHECK(forward["X-Request-Id"] == "id-1");
+  CHECK(forward.find("X-Hop") == forward.end());
+  CHECK(forward.target() == "/a/x?y=1");
+}
+
+TEST_CASE("lookups and readiness are told apart from other calls") {
+  const auto place =
+      ReadLookup("/baobabwall/resolve?name=h&region=amba&zone=amba-palermo");
+  REQUIRE(place.has_value());
+  CHECK(place->zone == "amba-palermo");
+  CHECK(place->region == "amba");
+  CHECK_FALSE(ReadLookup("/other?zone=x").has_value());
+  CHECK(IsReadinessCheck("/baobabwall/readiness"));
+  CHECK_FALSE(IsReadinessCheck("/"));
+  const auto answer = MakeLookupAnswer({{"10.1.0.15", 8641}}, absl::Seconds(2));
+  const json body = json::parse(answer.body());
+  CHECK(body["addresses"][0] == "10.1.0.15:8641");
+  CHECK(body["ttl_s"] == 2.0);
+  CHECK(MakeLookupAnswer({}, absl::Seconds(2)).result_int() == 503);
+  const auto refusal = MakeRefusal(503, absl::Milliseconds(250), "id-1");
+  CHECK(refusal["Retry-After"] == "0.250");
+}
+
+}  // namespace
+}  // namespace baobabwall::platform
