--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -11,7 +11,6 @@
 #include "edge/src/http_listener.h"
 #include "edge/src/http_message.h"
 #include "edge/src/line_limit.h"
-#include "edge/src/log_writer.h"
 #include "edge/src/peer_channel.h"
 #include "edge/src/socket_options.h"
 #include "edge/src/store_link.h"
