Give up a watch that was sent into a silent store; gather changes for 0.8 s

Cause: gateway_process_test (outage, silent): a watch sent while the store was silent was waited for 26.5 s after its return, so a configuration came late. The pending watch is given up once a renewal fails; renewals time out after 1.5 s. Tests: shared_state_test, gateway_process_test failed before, pass now.

--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -298,7 +298,7 @@
 };
 
 HttpListener::HttpListener(asio::io_context* io, Hooks hooks)
-    : io_(io), hooks_(std::move(hooks)), acceptor_(*io) {}
+    : hooks_(std::move(hooks)), acceptor_(*io) {}
 
 HttpListener::~HttpListener() = default;
 
@@ -353,11 +353,7 @@
 
 void HttpListener::StartLeaving() {
   is_leaving_ = true;
-  std::vector<std::shared_ptr<Connection>> all;
-  for (const auto& [key, connection] : connections_) {
-    all.push_back(connection);
-  }
-  for (const auto& connection : all) {
+  for (const auto& connection : Connections()) {
     connection->StartLeaving();
   }
 }
@@ -367,12 +363,23 @@
   acceptor_.close(ignored);
 }
 
-void HttpListener::OnTick(absl::Time now) {
+void HttpListener::CloseAll() {
+  for (const auto& connection : Connections()) {
+    connection->Close();
+  }
+}
+
+std::vector<std::shared_ptr<HttpListener::Connection>>
+HttpListener::Connections() const {
   std::vector<std::shared_ptr<Connection>> all;
   for (const auto& [key, connection] : connections_) {
     all.push_back(connection);
   }
-  for (const auto& connection : all) {
+  return all;
+}
+
+void HttpListener::OnTick(absl::Time now) {
+  for (const auto& connection : Connections()) {
     connection->OnTick(now);
   }
 }
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -56,6 +57,8 @@
   /// requests that were read; new ones are still accepted.
   void StartLeaving();
   void StopAccepting();
+  /// \brief Ends all connections at once, whatever is under way.
+  void CloseAll();
 
   /// \brief Ends connections that are idle or whose caller is too slow.
   void OnTick(absl::Time now);
@@ -66,8 +69,9 @@
   class Connection;
 
   void Accept();
+  /// \returns a copy: handling a connection may end others.
+  std::vector<std::shared_ptr<Connection>> Connections() const;
 
-  asio::io_context* io_;
   Hooks hooks_;
   tcp::acceptor acceptor_;
   gateway::RequestLimits limits_;
--- a/packages/edge/src/store_link.cc
+++ b/packages/edge/src/store_link.cc
@@ -31,11 +31,8 @@
 
   void Run() {
     request_ = link_->dialect_->store_request(call_.request);
-    const auto* watch = std::get_if<control::StoreWatch>(&call_.request);
-    const absl::Duration timeout =
-        watch == nullptr ? kSlowAnswerTimeout : watch->timeout + kAnswerTimeout;
-    timer_.expires_after(
-        std::chrono::milliseconds(absl::ToInt64Milliseconds(timeout)));
+    timer_.expires_after(std::chrono::milliseconds(
+        absl::ToInt64Milliseconds(TimeoutOf(call_.request))));
     timer_.async_wait([self = shared_from_this()](error_code error) {
       if (!error) {
         self->Fail("timeout");
@@ -65,6 +62,16 @@
   }
 
  private:
+  static absl::Duration TimeoutOf(const control::StoreRequest& request) {
+    if (const auto* watch = std::get_if<control::StoreWatch>(&request)) {
+      return watch->timeout + kAnswerTimeout;
+    }
+    const bool is_write =
+        std::holds_alternative<control::StoreCompareAndSwap>(request) ||
+        std::holds_alternative<control::StoreLeaseGrant>(request);
+    return is_write ? kWriteTimeout : kAnswerTimeout;
+  }
+
   void Send() {
     http::async_write(socket_, request_,
                       [self = shared_from_this()](error_code error, size_t) {
--- a/packages/edge/src/store_link.h
+++ b/packages/edge/src/store_link.h
@@ -16,8 +16,9 @@
  public:
   /// Time for an answer, beyond the time that a watch waits.
   static constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(1500);
-  /// The store may be slow; a call that can't be repeated safely gets longer.
-  static constexpr absl::Duration kSlowAnswerTimeout = absl::Seconds(4);
+  /// Writes get longer: the store may be slow, and a write without an answer
+  /// may still be done.
+  static constexpr absl::Duration kWriteTimeout = absl::Seconds(4);
 
   using Done = std::function<void(control::StoreAnswer)>;
 
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -36,6 +36,11 @@
   control::StoreCall call;
   call.id = ++last_call_;
   call.request = std::move(request);
+  if (caller == Caller::kReader) {
+    // An earlier call of the reader was given up.
+    calls_.erase(reader_call_);
+    reader_call_ = call.id;
+  }
   calls_.emplace(call.id, caller);
   hooks_.call_store(std::move(call));
 }
@@ -61,7 +66,7 @@
   }
   const Caller caller = call->second;
   calls_.erase(call);
-  if (caller == Caller::kReader) {
+  if (caller == Caller::kReader && reader_.is_pending()) {
     reader_.OnAnswer(answer, now);
   } else if (caller == Caller::kRegistration) {
     registration_.OnAnswer(answer, now);
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -74,6 +74,7 @@
   BackendRegistry registry_;
   absl::flat_hash_map<control::StoreCallId, Caller> calls_;
   control::StoreCallId last_call_ = 0;
+  control::StoreCallId reader_call_ = 0;  ///< The latest of the reader.
   std::shared_ptr<const RoutingConfig> config_;
   std::map<std::string, InstanceRecord> instances_;  ///< By key.
   std::set<uint64_t> crashes_;
--- a/packages/gateway/src/state_reader.cc
+++ b/packages/gateway/src/state_reader.cc
@@ -47,7 +47,9 @@
   if (is_reachable && is_lost_) {
     due_ = std::min(due_, now);
   }
-  if (!is_reachable) {
+  if (!is_reachable && !is_lost_) {
+    is_pending_ = false;
+    due_ = now + kProbed;
     SetLost(true);
   }
 }
--- a/packages/gateway/src/state_reader.h
+++ b/packages/gateway/src/state_reader.h
@@ -21,7 +21,9 @@
   /// Longest time that a watch waits at the store.
   static constexpr absl::Duration kWatch = absl::Seconds(25);
   /// Changes that come close together are read by one call.
-  static constexpr absl::Duration kGather = absl::Milliseconds(150);
+  static constexpr absl::Duration kGather = absl::Milliseconds(800);
+  /// While another call probes a store that is away, this one waits.
+  static constexpr absl::Duration kProbed = absl::Seconds(3);
   static constexpr absl::Duration kFirstRetry = absl::Milliseconds(300);
   static constexpr absl::Duration kLongestRetry = absl::Seconds(1);
   /// Keys of one page.
@@ -45,10 +47,15 @@
   void OnAnswer(const control::StoreAnswer& answer, absl::Time now);
 
   /// \brief Another call has shown that the store is away or back.
+  ///
+  /// A call that is pending when the store goes away is given up: it may never
+  /// be answered. Its answer must not be passed on.
   void OnStoreSeen(bool is_reachable, absl::Time now);
 
   /// \returns true once all keys have been read.
   bool is_read() const { return is_read_; }
+  /// \returns whether the answer to the latest call is still expected.
+  bool is_pending() const { return is_pending_; }
   bool is_store_lost() const { return is_lost_; }
   int64_t revision() const { return revision_; }
 
--- a/packages/transport/src/embedded_store.h
+++ b/packages/transport/src/embedded_store.h
@@ -26,9 +26,11 @@
   control::StoreAnswer KeepAlive(const control::StoreLeaseKeepAlive& request,
                                  absl::Time now);
 
-  /// \returns the keys of the prefix that were written after the revision.
+  /// \brief Ends a lease and deletes its keys.
   control::StoreAnswer EndLease(const control::StoreLeaseEnd& request,
                                 absl::Time now);
+
+  /// \returns the keys of the prefix that were written after the revision.
   control::StoreAnswer Changes(const control::StoreWatch& request) const;
 
   /// \brief Deletes the keys of lapsed leases.
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -105,6 +105,22 @@
   CHECK(r.Next<control::StoreWatch>(now).timeout == StateReader::kWatch);
 }
 
+// Guards against a watch that was sent into a silent store and is waited for
+// long after the store's return.
+TEST_CASE("a pending watch is given up when the store goes away") {
+  Reader r;
+  r.Next<control::StoreRange>(kStart);
+  r.reader.OnAnswer(Ok(5), kStart);
+  r.Next<control::StoreWatch>(kStart);
+  r.reader.OnStoreSeen(false, kStart + absl::Seconds(2));
+  CHECK(r.lost == 1);
+  CHECK_FALSE(r.reader.NextCall(kStart + absl::Seconds(3)).has_value());
+  r.reader.OnStoreSeen(true, kStart + absl::Seconds(4));
+  const auto watch = r.Next<control::StoreWatch>(kStart + absl::Seconds(4));
+  CHECK(watch.after_revision == 5);
+  CHECK(watch.timeout < absl::Seconds(1));
+}
+
 InstanceRecord Self() {
   InstanceRecord record;
   record.name = "self";
