--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -108,7 +108,8 @@
                            "/baobabwall-",
                            name,
                            "-",
-                           getpid())) {
+                           getpid())),
+      store_port_(platform_.store_port()) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
 }
@@ -130,7 +131,7 @@
            << address("lookups", member.lookups)
            << address("peers", member.peers)
            << address("metrics", member.metrics)
-           << address("store", platform_.store_port())
+           << address("store", store_port_)
            << "[zones]\na-1 = a\na-2 = a\nb-1 = b\n"
            << "[shutdown]\ngrace_s = 4\n";
   settings.close();
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -36,6 +36,10 @@
   /// \param name of the folder for settings and logs; made anew.
   explicit GatewayFleet(std::string name);
 
+  /// \brief Instances that are started from now on find the store at this
+  /// port of 127.0.0.1.
+  void SetStorePort(int port) { store_port_ = port; }
+
   /// \brief Writes settings and starts a process.
   /// \param zone "a-1", "a-2" or "b-1".
   void Start(const std::string& instance, const std::string& zone);
@@ -77,6 +81,7 @@
 
   std::string folder_;
   PlatformStandin platform_;
+  int store_port_;
   std::map<std::string, Member> members_;
 };
 
