Report crashing requests under a lease, all of them; pause after a failed accept

Cause, found by reading: each report replaced the one before, reports stayed in the store for ever, marks of broken connections piled up, and a listener without descriptors would accept in a tight loop. Tests: steering_test and shared_state_test failed on the old code's API and behaviour (one report replaced the other; no lease).

--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -298,7 +298,7 @@
 };
 
 HttpListener::HttpListener(asio::io_context* io, Hooks hooks)
-    : hooks_(std::move(hooks)), acceptor_(*io) {}
+    : hooks_(std::move(hooks)), acceptor_(*io), accept_timer_(*io) {}
 
 HttpListener::~HttpListener() = default;
 
@@ -335,11 +335,17 @@
     }
     if (error) {
       LOG(WARNING) << "http: accept failed error=" << error.message();
-    } else {
-      auto connection = std::make_shared<Connection>(this, std::move(socket));
-      connections_.emplace(connection.get(), connection);
-      connection->Start();
+      accept_timer_.expires_after(kAcceptRetry);
+      accept_timer_.async_wait([this](error_code stopped) {
+        if (!stopped && acceptor_.is_open()) {
+          Accept();
+        }
+      });
+      return;
     }
+    auto connection = std::make_shared<Connection>(this, std::move(socket));
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
     Accept();
   });
 }
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -1,6 +1,8 @@
 #ifndef EDGE_SRC_HTTP_LISTENER_H_
 #define EDGE_SRC_HTTP_LISTENER_H_
 
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +33,8 @@
   /// for requests under way.
   static constexpr absl::Duration kIdleSlack = absl::Seconds(1);
   static constexpr int kBacklog = 1024;
+  /// Pause after a failed accept, such as for want of descriptors.
+  static constexpr std::chrono::milliseconds kAcceptRetry{50};
 
   struct Hooks {
     /// A whole request has arrived; answered by Answer(), now or later.
@@ -74,6 +78,7 @@
 
   Hooks hooks_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   gateway::RequestLimits limits_;
   bool is_leaving_ = false;
   ExchangeId last_exchange_ = 0;
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -161,9 +161,7 @@
   }
   backends_.KeepServers(ids);
   peers_.SetRecords(view_->instances, now);
-  for (const uint64_t fingerprint : view_->crashing_requests) {
-    steering_.OnCrashReport(fingerprint, now);
-  }
+  steering_.SetCrashReports(view_->crashing_requests, now);
   TickSlow(now);
 }
 
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -73,6 +73,14 @@
     const bool is_reachable = answer.status != control::StoreStatus::kUnknown &&
                               answer.status != control::StoreStatus::kRefused;
     reader_.OnStoreSeen(is_reachable, now);
+  } else if (caller == Caller::kCrashLease) {
+    if (answer.status == control::StoreStatus::kOk) {
+      WriteCrashReports(answer.lease);
+    } else {
+      // The other instances find out for themselves.
+      hooks_.log("store: crash report not written");
+      crashes_to_report_.clear();
+    }
   }
   OnTick(now);
 }
@@ -108,7 +116,10 @@
       registration_.OnRecordRemoved(now_);
     }
   } else if (const auto* crash = std::get_if<CrashReported>(&*change)) {
-    is_changed_ = crashes_.insert(crash->fingerprint).second || is_changed_;
+    const bool is_changed = crash->is_ended
+                                ? crashes_.erase(crash->fingerprint) > 0
+                                : crashes_.insert(crash->fingerprint).second;
+    is_changed_ = is_changed_ || is_changed;
   }
 }
 
@@ -170,10 +181,19 @@
     return;
   }
   is_changed_ = true;
-  control::StoreCompareAndSwap put;
-  put.key = absl::StrCat(kCrashPrefix, absl::Hex(fingerprint));
-  put.value = self_.name;
-  Call(Caller::kCrashReport, std::move(put));
+  crashes_to_report_.push_back(fingerprint);
+  Call(Caller::kCrashLease, control::StoreLeaseGrant{kCrashReportLife});
+}
+
+void GatewayControl::WriteCrashReports(uint64_t lease) {
+  for (const uint64_t fingerprint : crashes_to_report_) {
+    control::StoreCompareAndSwap put;
+    put.key = absl::StrCat(kCrashPrefix, absl::Hex(fingerprint));
+    put.value = self_.name;
+    put.lease = lease;
+    Call(Caller::kCrashReport, std::move(put));
+  }
+  crashes_to_report_.clear();
 }
 
 void GatewayControl::Leave(absl::Time now) {
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -57,7 +57,7 @@
   bool is_store_lost() const { return reader_.is_store_lost(); }
 
  private:
-  enum class Caller { kReader, kRegistration, kCrashReport };
+  enum class Caller { kReader, kRegistration, kCrashLease, kCrashReport };
 
   void Call(Caller caller, control::StoreRequest request);
   void Apply(const control::StoreKeyValue& item, bool is_complete_read);
@@ -65,6 +65,7 @@
   void ApplyInstance(const InstanceWritten& change);
   void EndCompleteRead(const std::vector<std::string>& keys);
   void PublishIfChanged();
+  void WriteCrashReports(uint64_t lease);
 
   InstanceRecord self_;
   Hooks hooks_;
--- a/packages/gateway/src/state_change.h
+++ b/packages/gateway/src/state_change.h
@@ -40,9 +40,10 @@
   std::string key;  ///< Its key in the store.
 };
 
-/// \brief A request that crashes backend servers was reported.
+/// \brief A report of a request that crashes backend servers.
 struct CrashReported {
   uint64_t fingerprint = 0;
+  bool is_ended = false;  ///< The report has expired.
 };
 
 /// \brief One change of the shared state, as read from the store.
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -40,6 +40,10 @@
 
 void Steering::SetBackends(const BackendSet& set) {
   balancer_.SetBackends(set);
+  for (auto broken = broken_.begin(); broken != broken_.end();) {
+    const bool is_known = set.servers.count(broken->first) > 0;
+    broken = is_known ? std::next(broken) : broken_.erase(broken);
+  }
 }
 
 void Steering::SetInstances(std::vector<InstanceRecord> instances) {
@@ -47,8 +51,13 @@
   balancer_.SetInstances(std::move(instances));
 }
 
-void Steering::OnCrashReport(uint64_t fingerprint, absl::Time now) {
-  suspects_.Publish({{fingerprint, now + steer::CrashSuspects::kQuarantine}});
+void Steering::SetCrashReports(const std::set<uint64_t>& fingerprints,
+                               absl::Time now) {
+  std::map<uint64_t, absl::Time> quarantined;
+  for (const uint64_t fingerprint : fingerprints) {
+    quarantined[fingerprint] = now + steer::CrashSuspects::kQuarantine;
+  }
+  suspects_.Publish(quarantined);
 }
 
 bool Steering::IsActive(absl::Time now) const {
@@ -218,8 +227,11 @@
                           const AttemptEnd& end,
                           absl::Time now) {
   if (end.result == AttemptResult::kBroken) {
-    broken_[request.attempt.server->server().id].emplace_back(
-        now, request.caller.fingerprint);
+    auto& broken = broken_[request.attempt.server->server().id];
+    while (!broken.empty() && now - broken.front().first > kCrashWindow) {
+      broken.pop_front();
+    }
+    broken.emplace_back(now, request.caller.fingerprint);
     return;
   }
   if (end.result != AttemptResult::kConnectFailed) {
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -2,9 +2,11 @@
 #define GATEWAY_SRC_STEERING_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,7 +76,8 @@
     retries_.SetBound(bound);
   }
   void SetInstances(std::vector<InstanceRecord> instances);
-  void OnCrashReport(uint64_t fingerprint, absl::Time now);
+  /// \param fingerprints all requests that are reported to crash servers.
+  void SetCrashReports(const std::set<uint64_t>& fingerprints, absl::Time now);
 
   SteeringActions OnRequest(CallerRequest request, absl::Time now);
   SteeringActions OnAttemptEnd(const AttemptEnd& end, absl::Time now);
@@ -174,7 +177,7 @@
   DemandMeter demand_;
   steer::CrashSuspects suspects_;
   /// Fingerprints whose connection broke, by server.
-  std::map<std::string, std::vector<std::pair<absl::Time, uint64_t>>> broken_;
+  std::map<std::string, std::deque<std::pair<absl::Time, uint64_t>>> broken_;
   absl::flat_hash_map<RequestId, std::unique_ptr<Request>> requests_;
   absl::flat_hash_map<AttemptId, RequestId> attempts_;
   absl::flat_hash_map<std::string, absl::Duration> longest_time_left_;
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -198,6 +199,9 @@
       builder.Version(std::stoll(item.value));
       return ConfigWritten{builder.Build()};
     }
+    if (item.key == "crash") {
+      return CrashReported{0xabc, item.is_deleted};
+    }
     if (item.is_deleted) {
       return BackendRemoved{item.key};
     }
@@ -248,6 +252,38 @@
   CHECK(c.view->config->version() == 12);
 }
 
+// Guards against reports that stay in the store for ever, or stop a request for
+// ever.
+TEST_CASE("a crash report is written under a lease and ends with it") {
+  Control c;
+  c.AnswerReader(Ok(5), kStart);
+  c.control.ReportCrash(0xabc, kStart);
+  StoreAnswer grant = Ok();
+  grant.lease = 42;
+  for (const control::StoreCall& call : c.calls) {
+    if (std::holds_alternative<control::StoreLeaseGrant>(call.request)) {
+      grant.id = call.id;  // The latest one is that of the report.
+    }
+  }
+  c.control.OnStoreAnswer(grant, kStart);
+  const auto is_put = [](const control::StoreCall& call) {
+    return std::holds_alternative<control::StoreCompareAndSwap>(call.request);
+  };
+  const auto put = std::find_if(c.calls.begin(), c.calls.end(), is_put);
+  REQUIRE(put != c.calls.end());
+  CHECK(std::get<control::StoreCompareAndSwap>(put->request).lease == 42);
+  CHECK(c.view->crashing_requests.count(0xabc) == 1);
+  StoreAnswer ended = Ok(9);
+  ended.key_values = {{"crash", "", 9, true}};
+  for (const control::StoreCall& call : c.calls) {
+    if (std::holds_alternative<control::StoreWatch>(call.request)) {
+      ended.id = call.id;
+    }
+  }
+  c.control.OnStoreAnswer(ended, kStart + absl::Seconds(1));
+  CHECK(c.view->crashing_requests.empty());
+}
+
 // Guards against an empty view while the store can't be read, and against
 // servers lost by an outage.
 TEST_CASE("servers whose entries lapsed in an outage stay in the view") {
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -190,6 +190,18 @@
   CHECK(starts <= 6);
 }
 
+// Guards against a second report that makes the first one void.
+TEST_CASE("all requests that others reported are stopped") {
+  Fixture f;
+  f.steering.SetCrashReports({77, 78}, f.now);
+  const auto actions = f.Send("/read/poison", 1);
+  CHECK(Fixture::Find<StartAttempt>(actions) == nullptr);
+  REQUIRE(Fixture::Find<Refuse>(actions) != nullptr);
+  CHECK(Fixture::Find<Refuse>(actions)->status == 503);
+  f.steering.SetCrashReports({}, f.now);
+  CHECK(Fixture::Find<StartAttempt>(f.Send("/read/poison", 2)) != nullptr);
+}
+
 /// What a random run may do to an attempt.
 constexpr AttemptResult kResults[] = {
     AttemptResult::kCompleted, AttemptResult::kRefused, AttemptResult::kBroken,
