--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -55,10 +55,6 @@
   instances_ = std::move(instances);
 }
 
-bool Balancer::HasServers(absl::string_view service) const {
-  return by_service_.contains(service);
-}
-
 int64_t Balancer::ColdShare(const BackendServer& server) const {
   const ServiceSpec* service = config_->FindService(server.service);
   if (service == nullptr) {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -116,7 +116,6 @@
   static uint32_t ServerHash(absl::string_view id);
 
   size_t server_count() const { return servers_.size(); }
-  bool HasServers(absl::string_view service) const;
 
  private:
   struct Candidate {
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -46,6 +46,13 @@
   return "";
 }
 
+/// \returns the lease at the end of a target; 0, which none has, for others.
+uint64_t LeaseOf(const std::string& target) {
+  uint64_t lease = 0;
+  const std::string text = target.substr(target.rfind('/') + 1);
+  return absl::SimpleAtoi(text, &lease) ? lease : 0;
+}
+
 json ToJson(const control::StoreKeyValue& item) {
   if (item.is_deleted) {
     return {{"key", item.key}, {"rev", item.revision}, {"deleted", true}};
@@ -272,15 +279,11 @@
       AnswerStore(exchange, 200, json{{"lease", grant.lease}}.dump());
     }
   } else if (absl::StartsWith(target, "/baobabwall/kv-keep/")) {
-    uint64_t lease = 0;
-    absl::SimpleAtoi(target.substr(target.rfind('/') + 1), &lease);
-    const auto kept = state_.KeepAlive({lease}, now);
+    const auto kept = state_.KeepAlive({LeaseOf(target)}, now);
     const bool is_kept = kept.status == control::StoreStatus::kOk;
     AnswerStore(exchange, is_kept ? 200 : 404, "{}");
   } else if (absl::StartsWith(target, "/baobabwall/kv-lease-end/")) {
-    uint64_t lease = 0;
-    absl::SimpleAtoi(target.substr(target.rfind('/') + 1), &lease);
-    state_.EndLease({lease}, now);
+    state_.EndLease({LeaseOf(target)}, now);
     Changed();
     AnswerStore(exchange, 200, "{}");
   } else if (target == "/baobabwall/kv-txn") {
