Serve callers for half of the grace when leaving; look-ups hold for 1 s

Change: kLeastServePart is half of the grace; time to live is 1 s. Test: gateway_process_test, 'a leaving instance serves until callers have asked again' (not run on the old code).

--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -35,9 +35,10 @@
   static constexpr double kServePart = 0.5;
   /// The process ends this long before it would be killed.
   static constexpr absl::Duration kKillMargin = absl::Milliseconds(300);
-  /// Least time for which a leaving instance serves: callers learn within it
-  /// that it is gone.
-  static constexpr double kLeastServePart = 0.3;
+  /// A leaving instance serves at least this part of the grace, also when it is
+  /// idle: callers keep the answer to a lookup for up to three times its time
+  /// to live, and until then find nobody else in a zone with one instance.
+  static constexpr double kLeastServePart = kServePart;
 
   struct Hooks {
     std::function<void(uint64_t fingerprint)> report_crash;
--- a/packages/settings/src/gateway_settings.h
+++ b/packages/settings/src/gateway_settings.h
@@ -38,7 +38,7 @@
   /// Time from the signal to stop until the process is killed.
   absl::Duration shutdown_grace = absl::Seconds(6);
   /// Time for which callers may keep the answer to a lookup.
-  absl::Duration lookup_time_to_live = absl::Seconds(2);
+  absl::Duration lookup_time_to_live = absl::Seconds(1);
   /// Most lines of the request log in a second.
   int64_t log_lines_per_s = 200;
   int64_t seed = 0;  ///< 0: taken from the instance name and the start time.
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -155,6 +155,26 @@
   CHECK(absl::StrContains(f.fleet.Log("one"), "process: stopped"));
 }
 
+// Guards against callers that find nobody: they keep the answer to a lookup for
+// up to three times as long as it says.
+TEST_CASE("a leaving instance serves until callers have asked again") {
+  Fixture f("leave");
+  f.fleet.process("one").Signal(SIGTERM);
+  const absl::Time left = absl::Now();
+  // Half of the grace of 4 s, less the time of one request.
+  while (absl::Now() < left + absl::Seconds(1.8)) {
+    CHECK(Send(f.fleet.caller_port("one"), "/read/x", "id-1").status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  const std::string answer =
+      Call(f.fleet.lookup_port("two"), "GET",
+           "/baobabwall/resolve?name=h.example&region=a&zone=a-1")
+          .body;
+  CHECK(absl::StrContains(answer, "\"ttl_s\":1.0"));
+  CHECK_FALSE(
+      absl::StrContains(answer, absl::StrCat(":", f.fleet.caller_port("one"))));
+}
+
 // Guards against naming an instance that has died.
 TEST_CASE("a killed instance is no longer named") {
   Fixture f("kill");
