Serve one more request on connections without one when leaving

Ruled out: the end of the grace (the first request failed, the test stops 0.2 s before it) and a crash (all later requests were answered). Change: a connection that holds no request serves one more and then closes; idle ones are closed when the instance begins to refuse. Test: http_listener_test, 'a leaving listener answers requests that were on their way': 0 of 3 answered before, 3 after.

--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -47,13 +47,22 @@
     WriteNext();
   }
 
-  /// No further requests are read; closes once all answers are sent.
+  /// Closes once all answers are sent. A connection without a request serves
+  /// one more: it may be on its way.
   void StartLeaving() {
-    if (is_ending_) {
-      return;
+    if (IsIdle() || HasBegun()) {
+      is_last_request_ = true;
+    } else {
+      StopReading();
+    }
+  }
+
+  void CloseIfIdle(absl::Time now) {
+    const bool may_begin =
+        !has_served_ && now - last_use_ <= HttpListener::kFirstRequest;
+    if (IsIdle() && !may_begin) {
+      StopReading();
     }
-    is_read_stopped_ = true;
-    WriteNext();
   }
 
   void OnTick(absl::Time now) {
@@ -64,8 +73,7 @@
       return;
     }
     const gateway::RequestLimits& limits = listener_->limits_;
-    const bool has_begun = parser_ && parser_->got_some();
-    if (has_begun && !parser_->is_header_done()) {
+    if (HasBegun() && !parser_->is_header_done()) {
       if (head_since_ == absl::InfiniteFuture()) {
         head_since_ = now;
       }
@@ -75,9 +83,8 @@
       return;
     }
     head_since_ = absl::InfiniteFuture();
-    const bool is_idle = slots_.empty() && !has_begun;
-    if (is_idle && now - last_use_ > limits.idle_timeout + kIdleSlack) {
-      StartLeaving();
+    if (IsIdle() && now - last_use_ > limits.idle_timeout + kIdleSlack) {
+      StopReading();
     }
   }
 
@@ -96,6 +103,17 @@
     std::shared_ptr<HttpResponse> answer;
   };
 
+  bool HasBegun() const { return parser_ && parser_->got_some(); }
+  bool IsIdle() const { return slots_.empty() && !HasBegun(); }
+
+  void StopReading() {
+    if (is_ending_) {
+      return;
+    }
+    is_read_stopped_ = true;
+    WriteNext();
+  }
+
   void Read() {
     if (is_reading_ || is_ending_ || is_read_stopped_) {
       return;
@@ -233,6 +251,7 @@
       return;
     }
     last_use_ = transport::SteadyNow();
+    has_served_ = true;
     const bool was_last = !slots_.front().answer->keep_alive();
     listener_->exchanges_.erase(slots_.front().exchange);
     slots_.pop_front();
@@ -291,6 +310,7 @@
   bool is_writing_ = false;
   bool is_read_stopped_ = false;
   bool is_last_request_ = false;
+  bool has_served_ = false;
   bool is_ending_ = false;
   absl::Time last_use_;
   absl::Time head_since_ = absl::InfiniteFuture();
@@ -364,6 +384,12 @@
   }
 }
 
+void HttpListener::CloseIdle(absl::Time now) {
+  for (const auto& connection : Connections()) {
+    connection->CloseIfIdle(now);
+  }
+}
+
 void HttpListener::StopAccepting() {
   error_code ignored;  // It is not used again.
   acceptor_.close(ignored);
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -32,6 +32,8 @@
   /// Callers may reuse a connection up to the idle timeout; this is the margin
   /// for requests under way.
   static constexpr absl::Duration kIdleSlack = absl::Seconds(1);
+  /// Time for the first request of a connection, of a leaving listener.
+  static constexpr absl::Duration kFirstRequest = absl::Seconds(1);
   static constexpr int kBacklog = 1024;
   /// Pause after a failed accept, such as for want of descriptors.
   static constexpr std::chrono::milliseconds kAcceptRetry{50};
@@ -57,9 +59,13 @@
   /// gone.
   void Answer(ExchangeId exchange, HttpResponse answer);
 
-  /// \brief From now on every connection is closed after the answers to the
-  /// requests that were read; new ones are still accepted.
+  /// \brief From now on connections are closed after the answers to the
+  /// requests that were read; those that hold none, and new ones, after one
+  /// more request.
   void StartLeaving();
+  /// \brief Ends connections that hold no request; those that never had one
+  /// only kFirstRequest after they were opened.
+  void CloseIdle(absl::Time now);
   void StopAccepting();
   /// \brief Ends all connections at once, whatever is under way.
   void CloseAll();
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -386,6 +386,9 @@
     is_refusing_ = true;
     LOG(INFO) << "drain: refusing in_flight=" << steering_.in_flight();
   }
+  if (is_refusing_) {
+    callers_.CloseIdle(now);
+  }
   const bool is_idle =
       steering_.in_flight() == 0 && callers_.connection_count() == 0;
   const bool is_done = is_idle && since >= grace * kLeastServePart;
--- a/test/http_listener_test.cc
+++ b/test/http_listener_test.cc
@@ -157,6 +157,53 @@
                           "Connection: close"));
 }
 
+// Guards against a planned stop that cuts requests on their way: on connections
+// that were just opened, kept without a request, or half read.
+TEST_CASE("a leaving listener answers requests that were on their way") {
+  Loop loop;
+  const auto opened = loop.Connect();
+  const auto kept = loop.Connect();
+  const auto begun = loop.Connect();
+  Loop::Write(kept.get(), Get("/kept"));
+  REQUIRE(loop.RunUntil([&] { return loop.exchanges.size() == 1; }));
+  loop.Answer(loop.exchanges[0], "kept-once");
+  loop.ReadUntil(kept.get(), "kept-once");
+  Loop::Write(begun.get(), "GET /begun HTTP/1.1\r\nHo");
+  REQUIRE(loop.RunUntil([&] { return loop.listener.connection_count() == 3; }));
+  loop.RunUntil([] { return false; });
+  loop.listener.StartLeaving();
+  loop.RunUntil([] { return false; });
+  Loop::Write(opened.get(), Get("/opened"));
+  Loop::Write(kept.get(), Get("/kept"));
+  Loop::Write(begun.get(), "st: h\r\n\r\n");
+  CHECK(loop.RunUntil([&] { return loop.exchanges.size() == 4; }));
+  for (const ExchangeId exchange : loop.exchanges) {
+    loop.Answer(exchange, "last");
+  }
+  for (tcp::socket* caller : {opened.get(), kept.get(), begun.get()}) {
+    CHECK(
+        absl::StrContains(loop.ReadUntil(caller, "last"), "Connection: close"));
+  }
+}
+
+// Guards against a planned stop that waits for callers without a request, or
+// cuts one that has just connected.
+TEST_CASE("a leaving listener closes idle connections when told to") {
+  Loop loop;
+  const auto idle = loop.Connect();
+  REQUIRE(loop.RunUntil([&] { return loop.listener.connection_count() == 1; }));
+  loop.listener.StartLeaving();
+  const absl::Time now = transport::SteadyNow();
+  loop.listener.CloseIdle(now);
+  loop.RunUntil([] { return false; });
+  CHECK(loop.listener.connection_count() == 1);
+  loop.listener.CloseIdle(now + HttpListener::kFirstRequest +
+                          absl::Milliseconds(1));
+  CHECK(loop.ReadUntil(idle.get(), "never").empty());
+  idle->close();
+  CHECK(loop.RunUntil([&] { return loop.listener.connection_count() == 0; }));
+}
+
 // Guards against bytes of a request that was refused being taken for the next
 // one.
 TEST_CASE("what can't be read is refused and ends the connection") {
