Wait for the server in the test of aborted attempts

Ruled out: a connection that stays open (the loop has closed its socket when Abort() returns; the server sees it milliseconds later). Change: the test sleeps 5 ms between looks; what is checked is the same.

--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "absl/strings/match.h"
@@ -250,9 +251,11 @@
   }
   path.client.Abort(path.last);
   CHECK(path.client.attempt_count() == 0);
+  path.io.restart();
+  path.io.poll();
+  // The server's thread notices; the loop has nothing left to wait for.
   for (int i = 0; i < 200 && path.server.closed_by_peer() == 0; ++i) {
-    path.io.restart();
-    path.io.run_for(std::chrono::milliseconds(5));
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
   CHECK(path.server.closed_by_peer() == 1);
   CHECK(path.ended.empty());
