Read the state from a few instances of a region

Change: in a region of more than 8 instances the two best-ranked, of different zones, watch the store and answer the reads of the others from a copy (StateSources, StateMirror, StateRelay; HTTP on the peer port). An instance that can't use its source goes to the next: other reader, store, other regions.

--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -12,6 +12,7 @@
 #include "edge/src/http_message.h"
 #include "edge/src/line_limit.h"
 #include "edge/src/peer_channel.h"
+#include "edge/src/relay_codec.h"
 #include "edge/src/socket_options.h"
 #include "edge/src/store_link.h"
 #include "edge/src/traffic_loop.h"
--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "edge/src/relay_codec.h"
 #include "glog/logging.h"
 #include "transport/transport.h"
 
@@ -16,21 +17,65 @@
     uint64_t seed,
     std::function<void(std::shared_ptr<const gateway::ControlView>)> publish)
     : io_(1),
-      control_(
-          std::move(self),
-          seed,
-          {dialect->state_change,
-           [this](control::StoreCall call) { link_.Call(std::move(call)); },
-           std::move(publish),
-           [](const std::string& line) { LOG(INFO) << line; }}),
-      link_(&io_,
-            dialect,
-            std::move(store),
-            [this](const control::StoreAnswer& answer) {
-              control_.OnStoreAnswer(answer, transport::SteadyNow());
-            }),
+      store_(std::move(store)),
+      control_(std::move(self),
+               seed,
+               ControlHooks(dialect, std::move(publish))),
+      store_link_(&io_,
+                  {dialect->store_request, dialect->store_answer},
+                  StoreLink::kStoreTimeouts,
+                  [this](const control::StoreAnswer& answer) {
+                    control_.OnStoreAnswer(answer, transport::SteadyNow());
+                  }),
+      peer_link_(&io_,
+                 {EncodeRelayRequest,
+                  [](const control::StoreRequest&, const HttpResponse& answer) {
+                    return DecodeRelayAnswer(answer);
+                  }},
+                 StoreLink::kPeerTimeouts,
+                 [this](const control::StoreAnswer& answer) {
+                   control_.OnStoreAnswer(answer, transport::SteadyNow());
+                 }),
+      relay_(&io_,
+             {[this](ExchangeId exchange, const HttpRequest& request) {
+                OnPeerRequest(exchange, request);
+              },
+              [this](ExchangeId exchange) { control_.OnPeerGone(exchange); }}),
       timer_(io_) {}
 
+gateway::GatewayControl::Hooks ControlThread::ControlHooks(
+    const Dialect* dialect,
+    std::function<void(std::shared_ptr<const gateway::ControlView>)> publish) {
+  gateway::GatewayControl::Hooks hooks;
+  hooks.decode = dialect->state_change;
+  hooks.call_store = [this](control::StoreCall call) {
+    store_link_.Call(store_, std::move(call));
+  };
+  hooks.publish = std::move(publish);
+  hooks.log = [](const std::string& line) { LOG(INFO) << line; };
+  hooks.call_peer = [this](const gateway::Endpoint& peer,
+                           control::StoreCall call) {
+    peer_link_.Call(peer, std::move(call));
+  };
+  hooks.answer_peer = [this](gateway::PeerCallId id,
+                             const control::StoreAnswer& answer) {
+    relay_.Answer(id, EncodeRelayAnswer(answer));
+  };
+  return hooks;
+}
+
+void ControlThread::OnPeerRequest(ExchangeId exchange,
+                                  const HttpRequest& request) {
+  const auto call = DecodeRelayRequest(request);
+  if (!call) {
+    HttpResponse unknown(http::status::not_found, 11);
+    unknown.prepare_payload();
+    relay_.Answer(exchange, std::move(unknown));
+    return;
+  }
+  control_.OnPeerCall(exchange, *call, transport::SteadyNow());
+}
+
 ControlThread::~ControlThread() {
   Stop();
 }
@@ -58,7 +103,12 @@
 }
 
 void ControlThread::Tick() {
-  control_.OnTick(transport::SteadyNow());
+  const absl::Time now = transport::SteadyNow();
+  control_.OnTick(now);
+  if (now - last_connection_tick_ >= kConnectionTick) {
+    last_connection_tick_ = now;
+    relay_.OnTick(now);
+  }
   timer_.expires_after(
       std::chrono::milliseconds(absl::ToInt64Milliseconds(kTick)));
   timer_.async_wait([this](boost::system::error_code error) {
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -6,15 +6,18 @@
 #include <thread>
 
 #include "edge/src/dialect.h"
+#include "edge/src/http_listener.h"
 #include "edge/src/store_link.h"
 #include "gateway/gateway.h"
 
 namespace baobabwall::edge {
 
-/// \brief The control thread: the shared state and the calls to the store.
+/// \brief The control thread: the shared state, the calls to the store and the
+/// reads between instances.
 class ControlThread {
  public:
   static constexpr absl::Duration kTick = absl::Milliseconds(50);
+  static constexpr absl::Duration kConnectionTick = absl::Milliseconds(500);
 
   /// \param publish receives each new view; called on the control thread.
   ControlThread(
@@ -25,6 +28,9 @@
       std::function<void(std::shared_ptr<const gateway::ControlView>)> publish);
   ~ControlThread();
 
+  /// \param peers where other instances read the shared state, by TCP.
+  /// \returns false if it can't be opened; logged.
+  bool Open(const gateway::Endpoint& peers) { return relay_.Open(peers); }
   void Start();
   void Stop();
   /// \brief Removes this instance's record from the store. Thread-safe.
@@ -33,11 +39,19 @@
   void ReportCrash(uint64_t fingerprint);
 
  private:
+  gateway::GatewayControl::Hooks ControlHooks(
+      const Dialect* dialect,
+      std::function<void(std::shared_ptr<const gateway::ControlView>)> publish);
+  void OnPeerRequest(ExchangeId exchange, const HttpRequest& request);
   void Tick();
 
   asio::io_context io_;
+  gateway::Endpoint store_;
   gateway::GatewayControl control_;
-  StoreLink link_;
+  StoreLink store_link_;
+  StoreLink peer_link_;
+  HttpListener relay_;
+  absl::Time last_connection_tick_ = absl::InfinitePast();
   asio::steady_timer timer_;
   std::thread thread_;
 };
--- a/packages/edge/src/gateway_process.cc
+++ b/packages/edge/src/gateway_process.cc
@@ -161,7 +161,8 @@
   control = &control_thread;
   Supervisor signals(file, text, &traffic, &control_thread);
   supervisor = &signals;
-  if (!traffic.Open()) {
+  const gateway::Endpoint peers{settings.peers.address, settings.peers.port};
+  if (!traffic.Open() || !control_thread.Open(peers)) {
     return kExitPorts;
   }
   LOG(INFO) << "process: started instance=" << self.name
--- /dev/null
+++ b/packages/edge/src/relay_codec.cc
@@ -0,0 +1,122 @@
+#include "edge/src/relay_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace baobabwall::edge {
+namespace internal {
+
+using nlohmann::json;
+
+constexpr absl::string_view kAllKeys = "/state/keys";
+constexpr absl::string_view kChanges = "/state/changes/";
+
+constexpr size_t kAnswerFields = 3;
+
+/// Longest time that another instance may have a watch pending.
+constexpr int64_t kMaxWaitMs = 60'000;
+
+control::StoreKeyValue ReadItem(const json& item) {
+  control::StoreKeyValue read;
+  read.key = item.at(0).get<std::string>();
+  read.value = item.at(1).get<std::string>();
+  read.revision = item.at(2).get<int64_t>();
+  read.is_deleted = item.at(3).get<bool>();
+  return read;
+}
+
+/// \returns none for a number that is none of ours.
+std::optional<control::StoreStatus> StatusOf(int64_t number) {
+  using control::StoreStatus;
+  for (const StoreStatus status :
+       {StoreStatus::kOk, StoreStatus::kNotFound, StoreStatus::kHistoryGone,
+        StoreStatus::kRefused}) {
+    if (number == static_cast<int64_t>(status)) {
+      return status;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace internal
+
+HttpRequest EncodeRelayRequest(const control::StoreRequest& call) {
+  std::string target(internal::kAllKeys);
+  if (const auto* watch = std::get_if<control::StoreWatch>(&call)) {
+    target = absl::StrCat(internal::kChanges, watch->after_revision, "/",
+                          absl::ToInt64Milliseconds(watch->timeout));
+  }
+  HttpRequest request(http::verb::get, target, 11);
+  request.set(http::field::host, "peer");
+  return request;
+}
+
+std::optional<control::StoreRequest> DecodeRelayRequest(
+    const HttpRequest& request) {
+  absl::string_view target(request.target().data(), request.target().size());
+  if (request.method() != http::verb::get) {
+    return std::nullopt;
+  }
+  if (target == internal::kAllKeys) {
+    return control::StoreRange{};
+  }
+  if (!absl::ConsumePrefix(&target, internal::kChanges)) {
+    return std::nullopt;
+  }
+  const std::vector<absl::string_view> parts = absl::StrSplit(target, '/');
+  control::StoreWatch watch;
+  int64_t wait_ms = 0;
+  const bool is_read = parts.size() == 2 &&
+                       absl::SimpleAtoi(parts[0], &watch.after_revision) &&
+                       absl::SimpleAtoi(parts[1], &wait_ms);
+  if (!is_read || wait_ms < 0 || wait_ms > internal::kMaxWaitMs) {
+    return std::nullopt;
+  }
+  watch.timeout = absl::Milliseconds(wait_ms);
+  return watch;
+}
+
+HttpResponse EncodeRelayAnswer(const control::StoreAnswer& answer) {
+  internal::json items = internal::json::array();
+  for (const control::StoreKeyValue& item : answer.key_values) {
+    items.push_back({item.key, item.value, item.revision, item.is_deleted});
+  }
+  const internal::json body = {static_cast<int64_t>(answer.status),
+                               answer.revision, std::move(items)};
+  HttpResponse response(http::status::ok, 11);
+  response.set(http::field::content_type, "application/msgpack");
+  internal::json::to_msgpack(body, response.body());
+  response.prepare_payload();
+  return response;
+}
+
+control::StoreAnswer DecodeRelayAnswer(const HttpResponse& answer) {
+  const internal::json body = internal::json::from_msgpack(
+      answer.body().begin(), answer.body().end(), true, false);
+  if (!body.is_array() || body.size() < internal::kAnswerFields) {
+    return {};
+  }
+  try {
+    const auto status = internal::StatusOf(body[0].get<int64_t>());
+    if (!status) {
+      return {};
+    }
+    control::StoreAnswer decoded;
+    decoded.status = *status;
+    decoded.revision = body[1].get<int64_t>();
+    for (const internal::json& item : body[2]) {
+      decoded.key_values.push_back(internal::ReadItem(item));
+    }
+    return decoded;
+  } catch (const internal::json::exception&) {
+    return {};
+  }
+}
+
+}  // namespace baobabwall::edge
--- a/packages/edge/src/store_link.cc
+++ b/packages/edge/src/store_link.cc
@@ -23,14 +23,15 @@
   /// A page of the store is at most 1 MB, and a value as much again in base64.
   static constexpr uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
 
-  Exchange(StoreLink* link, control::StoreCall call)
+  Exchange(StoreLink* link, gateway::Endpoint to, control::StoreCall call)
       : link_(link),
+        to_(std::move(to)),
         call_(std::move(call)),
         socket_(*link->io_),
         timer_(*link->io_) {}
 
   void Run() {
-    request_ = link_->dialect_->store_request(call_.request);
+    request_ = link_->codec_.encode(call_.request);
     timer_.expires_after(std::chrono::milliseconds(
         absl::ToInt64Milliseconds(TimeoutOf(call_.request))));
     timer_.async_wait([self = shared_from_this()](error_code error) {
@@ -38,13 +39,14 @@
         self->Fail("timeout");
       }
     });
-    if (!link_->idle_.empty()) {
-      socket_ = std::move(link_->idle_.back());
-      link_->idle_.pop_back();
+    std::list<tcp::socket>& idle = link_->idle_[to_];
+    if (!idle.empty()) {
+      socket_ = std::move(idle.back());
+      idle.pop_back();
       Send();
       return;
     }
-    const auto endpoint = ToAsio<tcp>(link_->store_);
+    const auto endpoint = ToAsio<tcp>(to_);
     if (!endpoint) {
       asio::post(*link_->io_,
                  [self = shared_from_this()] { self->Fail("bad address"); });
@@ -62,14 +64,14 @@
   }
 
  private:
-  static absl::Duration TimeoutOf(const control::StoreRequest& request) {
+  absl::Duration TimeoutOf(const control::StoreRequest& request) const {
     if (const auto* watch = std::get_if<control::StoreWatch>(&request)) {
-      return watch->timeout + kAnswerTimeout;
+      return watch->timeout + link_->timeouts_.answer;
     }
     const bool is_write =
         std::holds_alternative<control::StoreCompareAndSwap>(request) ||
         std::holds_alternative<control::StoreLeaseGrant>(request);
-    return is_write ? kWriteTimeout : kAnswerTimeout;
+    return is_write ? link_->timeouts_.write : link_->timeouts_.answer;
   }
 
   void Send() {
@@ -96,10 +98,9 @@
     }
     const HttpResponse answer = parser_.release();
     if (answer.keep_alive() && buffer_.size() == 0) {
-      link_->idle_.push_back(std::move(socket_));
+      link_->idle_[to_].push_back(std::move(socket_));
     }
-    control::StoreAnswer decoded =
-        link_->dialect_->store_answer(call_.request, answer);
+    control::StoreAnswer decoded = link_->codec_.decode(call_.request, answer);
     Finish(std::move(decoded));
   }
 
@@ -107,11 +108,12 @@
     if (is_over_) {
       return;
     }
-    LOG_EVERY_N(WARNING, 20) << "store: call failed error=" << error;
+    LOG_EVERY_N(WARNING, 20) << "store: call failed to=" << to_.address << ":"
+                             << to_.port << " error=" << error;
     error_code ignored;  // The connection is given up either way.
     socket_.close(ignored);
     // Other kept connections are likely to be as dead.
-    link_->idle_.clear();
+    link_->idle_.erase(to_);
     Finish({});
   }
 
@@ -123,6 +125,7 @@
   }
 
   StoreLink* link_;
+  gateway::Endpoint to_;
   control::StoreCall call_;
   tcp::socket socket_;
   asio::steady_timer timer_;
@@ -133,18 +136,18 @@
 };
 
 StoreLink::StoreLink(asio::io_context* io,
-                     const Dialect* dialect,
-                     gateway::Endpoint store,
+                     Codec codec,
+                     const Timeouts& timeouts,
                      Done done)
     : io_(io),
-      dialect_(dialect),
-      store_(std::move(store)),
+      codec_(std::move(codec)),
+      timeouts_(timeouts),
       done_(std::move(done)) {}
 
 StoreLink::~StoreLink() = default;
 
-void StoreLink::Call(control::StoreCall call) {
-  std::make_shared<Exchange>(this, std::move(call))->Run();
+void StoreLink::Call(const gateway::Endpoint& to, control::StoreCall call) {
+  std::make_shared<Exchange>(this, to, std::move(call))->Run();
 }
 
 }  // namespace baobabwall::edge
--- a/packages/edge/src/store_link.h
+++ b/packages/edge/src/store_link.h
@@ -3,42 +3,60 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 
+#include "absl/time/time.h"
 #include "control/control.h"
-#include "edge/src/dialect.h"
 #include "edge/src/http_message.h"
 
 namespace baobabwall::edge {
 
-/// \brief Carries calls to the store, on one event loop; connections are kept.
+/// \brief Carries calls to the store, or reads to other instances, on one event
+/// loop; connections are kept.
 class StoreLink {
  public:
-  /// Time for an answer, beyond the time that a watch waits.
-  static constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(1500);
-  /// Writes get longer: the store may be slow, and a write without an answer
-  /// may still be done.
-  static constexpr absl::Duration kWriteTimeout = absl::Seconds(4);
+  struct Timeouts {
+    /// Time for an answer, beyond the time that a watch waits.
+    absl::Duration answer;
+    /// Time for an answer to a write.
+    absl::Duration write;
+  };
+  /// Of the store. Writes get longer: it may be slow, and a write without an
+  /// answer may still be done.
+  static constexpr Timeouts kStoreTimeouts{absl::Milliseconds(1500),
+                                           absl::Seconds(4)};
+  /// Of other instances, which answer from memory.
+  static constexpr Timeouts kPeerTimeouts{absl::Milliseconds(500),
+                                          absl::Milliseconds(500)};
+
+  struct Codec {
+    std::function<HttpRequest(const control::StoreRequest&)> encode;
+    /// \returns an answer without an id.
+    std::function<control::StoreAnswer(const control::StoreRequest&,
+                                       const HttpResponse&)>
+        decode;
+  };
 
   using Done = std::function<void(control::StoreAnswer)>;
 
   /// \param done called once for each call, never from within Call().
   StoreLink(asio::io_context* io,
-            const Dialect* dialect,
-            gateway::Endpoint store,
+            Codec codec,
+            const Timeouts& timeouts,
             Done done);
   ~StoreLink();
 
-  void Call(control::StoreCall call);
+  void Call(const gateway::Endpoint& to, control::StoreCall call);
 
  private:
   class Exchange;
 
   asio::io_context* io_;
-  const Dialect* dialect_;
-  gateway::Endpoint store_;
+  Codec codec_;
+  Timeouts timeouts_;
   Done done_;
-  std::list<tcp::socket> idle_;
+  std::map<gateway::Endpoint, std::list<tcp::socket>> idle_;
 };
 
 }  // namespace baobabwall::edge
--- a/packages/gateway/src/backend_server.h
+++ b/packages/gateway/src/backend_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "absl/time/time.h"
 
@@ -19,6 +20,9 @@
   friend bool operator==(const Endpoint& a, const Endpoint& b) {
     return a.address == b.address && a.port == b.port;
   }
+  friend bool operator<(const Endpoint& a, const Endpoint& b) {
+    return std::tie(a.address, a.port) < std::tie(b.address, b.port);
+  }
 };
 
 /// \brief A backend server as it describes itself.
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -30,7 +30,11 @@
                  registry_.OnStoreReturn(now_);
                  hooks_.log("store: returned");
                }}),
-      registration_(self_, seed + internal::kRegistrationSeed) {}
+      registration_(self_, seed + internal::kRegistrationSeed),
+      sources_(self_),
+      relay_(&mirror_, [this](PeerCallId id, control::StoreAnswer answer) {
+        hooks_.answer_peer(id, std::move(answer));
+      }) {}
 
 void GatewayControl::Call(Caller caller, control::StoreRequest request) {
   control::StoreCall call;
@@ -42,7 +46,11 @@
     reader_call_ = call.id;
   }
   calls_.emplace(call.id, caller);
-  hooks_.call_store(std::move(call));
+  if (caller == Caller::kReader && !source_.is_store()) {
+    hooks_.call_peer(source_.endpoint, std::move(call));
+  } else {
+    hooks_.call_store(std::move(call));
+  }
 }
 
 void GatewayControl::OnTick(absl::Time now) {
@@ -50,11 +58,98 @@
   if (auto call = registration_.NextCall(now)) {
     Call(Caller::kRegistration, std::move(*call));
   }
+  ReadState(now);
+  registry_.OnTick(now);
+  PublishIfChanged();
+  relay_.OnTick(RelayState(), now);
+}
+
+void GatewayControl::ReadState(absl::Time now) {
+  if (!reader_.IsDue(now)) {
+    return;
+  }
+  UseSource(sources_.Choose(now));
   if (auto call = reader_.NextCall(now)) {
     Call(Caller::kReader, std::move(*call));
   }
-  registry_.OnTick(now);
-  PublishIfChanged();
+}
+
+void GatewayControl::UseSource(const StateSource& source) {
+  if (source.instance != source_.instance) {
+    reader_.OnSourceChanged();
+    hooks_.log(absl::StrCat("store: source=",
+                            source.is_store() ? "store" : source.instance));
+  }
+  source_ = source;
+  const bool is_read_by_many = sources_.is_reader() && sources_.has_followers();
+  registration_.SetRenewal(is_read_by_many ? Registration::kReaderRenewal
+                                           : Registration::kRenewal);
+  if (!source_.is_store()) {
+    reader_.SetPace(kPeerPace);
+  } else {
+    reader_.SetPace(is_read_by_many ? kReaderPace : StateReader::Pace{});
+  }
+}
+
+StateRelay::State GatewayControl::RelayState() const {
+  if (reader_.is_store_lost()) {
+    return StateRelay::State::kStoreLost;
+  }
+  const bool serves = source_.is_store() && reader_.is_read() && !is_leaving_;
+  return serves ? StateRelay::State::kServing : StateRelay::State::kNoReader;
+}
+
+void GatewayControl::OnPeerCall(PeerCallId id,
+                                const control::StoreRequest& request,
+                                absl::Time now) {
+  relay_.OnCall(id, request, now);
+}
+
+void GatewayControl::OnReaderAnswer(const control::StoreAnswer& answer,
+                                    absl::Time now) {
+  using control::StoreStatus;
+  if (!reader_.is_pending()) {
+    return;
+  }
+  const bool is_answered = answer.status == StoreStatus::kOk ||
+                           answer.status == StoreStatus::kHistoryGone;
+  // Another instance may be behind; its keys would take changes back.
+  const bool is_stale = answer.status == StoreStatus::kOk &&
+                        !source_.is_store() &&
+                        answer.revision < reader_.revision();
+  if (is_answered && !is_stale) {
+    reader_.OnAnswer(answer, now);
+    mirror_.OnRevision(reader_.revision());
+    return;
+  }
+  sources_.OnFailed(source_, now);
+  // What an instance does not know says nothing about the store.
+  const bool is_about_store =
+      source_.is_store() || answer.status == StoreStatus::kRefused;
+  if (!is_about_store && sources_.HasUntried(now)) {
+    reader_.GiveUp(now);
+    return;
+  }
+  control::StoreAnswer failed;
+  failed.status = StoreStatus::kUnknown;
+  reader_.OnAnswer(failed, now);
+}
+
+void GatewayControl::OnProbe(bool is_reachable, absl::Time now) {
+  if (is_reachable) {
+    sources_.OnStoreSeen();
+    reader_.OnStoreSeen(true, now);
+    return;
+  }
+  if (!source_.is_store()) {
+    return;
+  }
+  sources_.OnFailed(source_, now);
+  if (!sources_.HasUntried(now)) {
+    reader_.OnStoreSeen(false, now);
+  } else if (reader_.is_pending()) {
+    OnReaderAnswer({}, now);
+  }
 }
 
 void GatewayControl::OnStoreAnswer(const control::StoreAnswer& answer,
@@ -66,13 +161,13 @@
   }
   const Caller caller = call->second;
   calls_.erase(call);
-  if (caller == Caller::kReader && reader_.is_pending()) {
-    reader_.OnAnswer(answer, now);
+  if (caller == Caller::kReader) {
+    OnReaderAnswer(answer, now);
   } else if (caller == Caller::kRegistration) {
     registration_.OnAnswer(answer, now);
     const bool is_reachable = answer.status != control::StoreStatus::kUnknown &&
                               answer.status != control::StoreStatus::kRefused;
-    reader_.OnStoreSeen(is_reachable, now);
+    OnProbe(is_reachable, now);
   } else if (caller == Caller::kCrashLease) {
     if (answer.status == control::StoreStatus::kOk) {
       WriteCrashReports(answer.lease);
@@ -87,6 +182,7 @@
 
 void GatewayControl::Apply(const control::StoreKeyValue& item,
                            bool is_complete_read) {
+  mirror_.OnChange(item);
   std::optional<StateChange> change = hooks_.decode(item);
   if (!change) {
     return;
@@ -143,6 +239,7 @@
 void GatewayControl::EndCompleteRead(const std::vector<std::string>& keys) {
   registry_.OnCompleteRead(read_servers_, now_);
   registry_.OnEvacuations(read_zones_, now_);
+  mirror_.OnCompleteRead(keys, reader_.revision());
   const std::set<std::string> present(keys.begin(), keys.end());
   for (auto known = instances_.begin(); known != instances_.end();) {
     const bool is_there = present.count(known->first) > 0;
@@ -165,6 +262,7 @@
     return;
   }
   is_changed_ = false;
+  sources_.SetInstances(instances_);
   auto view = std::make_shared<ControlView>();
   view->config = config_;
   view->backends = registry_.Publish();
@@ -197,6 +295,7 @@
 }
 
 void GatewayControl::Leave(absl::Time now) {
+  is_leaving_ = true;
   registration_.Leave(now);
   OnTick(now);
 }
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -15,7 +15,10 @@
 #include "gateway/src/backend_registry.h"
 #include "gateway/src/registration.h"
 #include "gateway/src/state_change.h"
+#include "gateway/src/state_mirror.h"
 #include "gateway/src/state_reader.h"
+#include "gateway/src/state_relay.h"
+#include "gateway/src/state_sources.h"
 
 namespace baobabwall::gateway {
 
@@ -29,6 +32,7 @@
 
 /// \brief The shared state as this instance knows it, and its own record.
 ///
+/// Reads the state where StateSources says, and answers the reads of others.
 /// Runs on the control thread. No I/O: calls to the store come out, answers go
 /// in; views go to the traffic thread.
 class GatewayControl {
@@ -36,6 +40,14 @@
   /// Reports of crashing requests expire with their lease.
   static constexpr absl::Duration kCrashReportLife = absl::Minutes(10);
 
+  /// Of instances that others read from: few calls serve many.
+  static constexpr StateReader::Pace kReaderPace{StateReader::kWatch,
+                                                 absl::Milliseconds(400)};
+  /// Of reads at another instance. A watch waits so long that a frozen
+  /// instance is noticed well within the bounds for a configuration.
+  static constexpr StateReader::Pace kPeerPace{absl::Seconds(1),
+                                               absl::Milliseconds(100)};
+
   struct Hooks {
     /// Decodes a key of the store; none for one that means nothing here.
     std::function<std::optional<StateChange>(const control::StoreKeyValue&)>
@@ -43,6 +55,10 @@
     std::function<void(control::StoreCall)> call_store;
     std::function<void(std::shared_ptr<const ControlView>)> publish;
     std::function<void(const std::string& line)> log;
+    /// Reads at another instance; the answer goes to OnStoreAnswer().
+    std::function<void(const Endpoint&, control::StoreCall)> call_peer;
+    /// Answers OnPeerCall().
+    std::function<void(PeerCallId, control::StoreAnswer)> answer_peer;
   };
 
   GatewayControl(InstanceRecord self, uint64_t seed, Hooks hooks);
@@ -51,15 +67,23 @@
   void OnStoreAnswer(const control::StoreAnswer& answer, absl::Time now);
   /// \brief Tells the other instances of a request that crashes servers.
   void ReportCrash(uint64_t fingerprint, absl::Time now);
+  /// \brief Another instance reads from this one; answered by
+  /// Hooks::answer_peer, now or later.
+  void OnPeerCall(PeerCallId id,
+                  const control::StoreRequest& request,
+                  absl::Time now);
+  void OnPeerGone(PeerCallId id) { relay_.OnCallerGone(id); }
   void Leave(absl::Time now);
 
-  bool has_left() const { return registration_.has_left(); }
-  bool is_store_lost() const { return reader_.is_store_lost(); }
-
  private:
   enum class Caller { kReader, kRegistration, kCrashLease, kCrashReport };
 
   void Call(Caller caller, control::StoreRequest request);
+  void ReadState(absl::Time now);
+  void UseSource(const StateSource& source);
+  void OnReaderAnswer(const control::StoreAnswer& answer, absl::Time now);
+  void OnProbe(bool is_reachable, absl::Time now);
+  StateRelay::State RelayState() const;
   void Apply(const control::StoreKeyValue& item, bool is_complete_read);
   void ApplyConfig(const ConfigWritten& change);
   void ApplyInstance(const InstanceWritten& change);
@@ -73,6 +97,10 @@
   StateReader reader_;
   Registration registration_;
   BackendRegistry registry_;
+  StateSources sources_;
+  StateSource source_;  ///< Of the reader's latest call.
+  StateMirror mirror_;
+  StateRelay relay_;
   absl::flat_hash_map<control::StoreCallId, Caller> calls_;
   control::StoreCallId last_call_ = 0;
   control::StoreCallId reader_call_ = 0;  ///< The latest of the reader.
@@ -84,6 +112,7 @@
   std::set<std::string> read_servers_;
   std::set<std::string> read_zones_;
   bool was_read_ = false;
+  bool is_leaving_ = false;
   bool is_changed_ = false;
 };
 
--- a/packages/gateway/src/registration.cc
+++ b/packages/gateway/src/registration.cc
@@ -70,7 +70,7 @@
     state_ = State::kNoRecord;
   } else if (!is_leaving_) {
     state_ = State::kHeld;
-    due_ = now + kRenewal * (0.9 + 0.2 * random_.Unit());
+    due_ = now + renewal_ * (0.9 + 0.2 * random_.Unit());
   }
 }
 
--- a/packages/gateway/src/registration.h
+++ b/packages/gateway/src/registration.h
@@ -20,6 +20,9 @@
   /// Three renewals may be lost before the record goes.
   static constexpr absl::Duration kLease = absl::Seconds(8);
   static constexpr absl::Duration kRenewal = absl::Seconds(2);
+  /// Of an instance that others read from: they learn by it that the store
+  /// can't be reached.
+  static constexpr absl::Duration kReaderRenewal = absl::Milliseconds(700);
   static constexpr absl::Duration kFirstRetry = absl::Milliseconds(300);
   static constexpr absl::Duration kLongestRetry = absl::Seconds(1);
 
@@ -37,6 +40,8 @@
   /// \brief This instance leaves: the record is to be removed at once.
   void Leave(absl::Time now);
 
+  void SetRenewal(absl::Duration renewal) { renewal_ = renewal; }
+
   bool is_registered() const { return state_ == State::kHeld; }
   /// \returns true once the record is gone after Leave().
   bool has_left() const { return state_ == State::kLeft; }
@@ -47,6 +52,7 @@
   InstanceRecord record_;
   base::Random random_;
   control::Backoff backoff_;
+  absl::Duration renewal_ = kRenewal;
   State state_ = State::kNoLease;
   bool is_pending_ = false;
   bool is_leaving_ = false;
--- a/packages/gateway/src/state_reader.cc
+++ b/packages/gateway/src/state_reader.cc
@@ -12,7 +12,7 @@
       backoff_(kFirstRetry, kLongestRetry) {}
 
 std::optional<control::StoreRequest> StateReader::NextCall(absl::Time now) {
-  if (is_pending_ || now < due_) {
+  if (!IsDue(now)) {
     return std::nullopt;
   }
   is_pending_ = true;
@@ -27,7 +27,7 @@
   watch.prefix = prefix_;
   watch.after_revision = revision_;
   // A store that was away is asked for what is there, not to wait.
-  watch.timeout = is_lost_ ? absl::Milliseconds(1) : kWatch;
+  watch.timeout = is_lost_ ? absl::Milliseconds(1) : pace_.watch;
   return watch;
 }
 
@@ -43,6 +43,11 @@
   }
 }
 
+void StateReader::GiveUp(absl::Time now) {
+  is_pending_ = false;
+  due_ = now;
+}
+
 void StateReader::OnStoreSeen(bool is_reachable, absl::Time now) {
   if (is_reachable && is_lost_) {
     due_ = std::min(due_, now);
@@ -101,7 +106,7 @@
     hooks_.on_change(item, false);
   }
   revision_ = std::max(revision_, answer.revision);
-  due_ = answer.key_values.empty() ? now : now + kGather;
+  due_ = answer.key_values.empty() ? now : now + pace_.gather;
 }
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/state_reader.h
+++ b/packages/gateway/src/state_reader.h
@@ -29,6 +29,12 @@
   /// Keys of one page.
   static constexpr int kPage = 500;
 
+  /// How calls follow each other; depends on who answers them.
+  struct Pace {
+    absl::Duration watch = kWatch;    ///< Longest time that a watch waits.
+    absl::Duration gather = kGather;  ///< Pause behind changes.
+  };
+
   struct Hooks {
     std::function<void(const control::StoreKeyValue&, bool is_complete_read)>
         on_change;
@@ -40,12 +46,21 @@
 
   StateReader(std::string prefix, uint64_t seed, Hooks hooks);
 
+  void SetPace(const Pace& pace) { pace_ = pace; }
+  /// \brief Further calls go elsewhere: a read of pages begins anew.
+  void OnSourceChanged() { keys_.clear(); }
+
+  /// \returns true if a call is due now.
+  bool IsDue(absl::Time now) const { return !is_pending_ && now >= due_; }
   /// \returns the call that is due now, without its id; none if one is pending
   /// or none is due.
   std::optional<control::StoreRequest> NextCall(absl::Time now);
 
   void OnAnswer(const control::StoreAnswer& answer, absl::Time now);
 
+  /// \brief The pending call gets no answer; the next one is due at once.
+  void GiveUp(absl::Time now);
+
   /// \brief Another call has shown that the store is away or back.
   ///
   /// A call that is pending when the store goes away is given up: it may never
@@ -70,6 +85,7 @@
   base::Random random_;
   Hooks hooks_;
   control::Backoff backoff_;
+  Pace pace_;
   State state_ = State::kReading;
   bool is_pending_ = false;
   bool is_read_ = false;
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -175,6 +175,88 @@
       absl::StrContains(answer, absl::StrCat(":", f.fleet.caller_port("one"))));
 }
 
+/// Ten instances in one region: more than read the store each.
+class LargeRegion {
+ public:
+  explicit LargeRegion(const std::string& name) : fleet(name) {
+    fleet.PutConfig(1);
+    fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(20));
+    for (int i = 0; i < 10; ++i) {
+      names.push_back(absl::StrCat("n", i));
+      fleet.Start(names.back(), i % 2 == 0 ? "a-1" : "a-2");
+    }
+    for (const std::string& instance : names) {
+      REQUIRE(fleet.WaitReady(instance));
+    }
+    REQUIRE(WaitFor([&] { return Readers().size() == names.size() - 2; }));
+  }
+
+  /// \returns the instance that each follower reads from.
+  std::map<std::string, std::string> Readers() const {
+    const std::string marker = "store: source=";
+    std::map<std::string, std::string> readers;
+    for (const std::string& instance : names) {
+      const std::string log = fleet.Log(instance);
+      const size_t last = log.rfind(marker);
+      if (last == std::string::npos) {
+        continue;
+      }
+      const size_t begin = last + marker.size();
+      const std::string source =
+          log.substr(begin, log.find('\n', begin) - begin);
+      if (source != "store") {
+        readers[instance] = source;
+      }
+    }
+    return readers;
+  }
+
+  /// \returns whether all but one serve a route that is new.
+  bool ServeLater(const std::string& but) const {
+    for (const std::string& instance : names) {
+      if (instance == but) {
+        continue;
+      }
+      const CallerAnswer answer =
+          Send(fleet.caller_port(instance), "/later/x", "id-later");
+      if (answer.status != 200) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  GatewayFleet fleet;
+  std::vector<std::string> names;
+};
+
+// Guards against a store that every instance of a large fleet watches.
+TEST_CASE("in a large region few instances watch the store") {
+  LargeRegion f("large");
+  const int before = f.fleet.platform().watch_calls();
+  constexpr int changes = 6;
+  for (int i = 0; i < changes; ++i) {
+    f.fleet.platform().Put("op/other", absl::StrCat(i));
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  }
+  // Two readers, and as many calls again for a change of reader.
+  CHECK(f.fleet.platform().watch_calls() - before <= 2 * 2 * changes);
+  f.fleet.PutConfig(10);
+  CHECK(WaitFor([&] { return f.ServeLater(""); }, absl::Seconds(2.5)));
+}
+
+// Guards against followers without news because their reader froze, was killed
+// or stops.
+TEST_CASE("followers replace a reader that is gone") {
+  for (const int signal : {SIGSTOP, SIGKILL, SIGTERM}) {
+    LargeRegion f("reader");
+    const std::string reader = f.Readers().begin()->second;
+    f.fleet.process(reader).Signal(signal);
+    f.fleet.PutConfig(10);
+    CHECK(WaitFor([&] { return f.ServeLater(reader); }, absl::Seconds(2.5)));
+  }
+}
+
 // Guards against naming an instance that has died.
 TEST_CASE("a killed instance is no longer named") {
   Fixture f("kill");
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -230,6 +230,7 @@
 
 void PlatformStandin::OnWatch(edge::ExchangeId exchange,
                               const HttpRequest& request) {
+  ++watch_calls_;
   int64_t after = 0;
   int64_t wait_ms = 0;
   if (!absl::SimpleAtoi(QueryField(request, "after"), &after) ||
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -69,6 +69,8 @@
 
   /// \returns runs by request id, over all backend servers.
   std::map<std::string, SeenRequest> seen() const;
+  /// \returns watches of the store so far.
+  int watch_calls() const { return watch_calls_; }
   /// \returns runs at one backend server.
   int runs_at(const std::string& id) const;
 
@@ -97,6 +99,7 @@
   transport::KeyValueState state_;
   StoreMode mode_ = StoreMode::kUp;
   int64_t oldest_revision_ = 0;
+  std::atomic<int> watch_calls_{0};
   std::vector<Watch> watches_;
   std::map<std::string, std::unique_ptr<Backend>> backends_;
   std::vector<std::unique_ptr<Backend>> crashed_;
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "gateway/gateway.h"
 
@@ -175,6 +176,14 @@
   }
 }
 
+InstanceRecord Second() {
+  InstanceRecord record = Self();
+  record.name = "two";
+  record.callers.address = "10.0.0.2";
+  record.peer_port = 90;
+  return record;
+}
+
 /// A control side whose store answers are written by the test.
 class Control {
  public:
@@ -190,9 +199,16 @@
                  [this](std::shared_ptr<const ControlView> published) {
                    view = std::move(published);
                  },
-                 [](const std::string&) {}}) {}
+                 [](const std::string&) {},
+                 [this](const Endpoint& peer, control::StoreCall call) {
+                   peer_calls.emplace_back(peer, std::move(call));
+                 },
+                 [this](PeerCallId id, StoreAnswer answer) {
+                   peer_answers[id] = std::move(answer);
+                 }}) {}
 
-  /// Keys "config" with a version as value, and "server/ID".
+  /// Keys "config" with a version as value, "crash", that of Second() and IDs
+  /// of servers.
   std::optional<StateChange> Decode(const control::StoreKeyValue& item) {
     if (item.key == "config") {
       RoutingConfig::Builder builder;
@@ -202,6 +218,9 @@
     if (item.key == "crash") {
       return CrashReported{0xabc, item.is_deleted};
     }
+    if (item.key == Second().Key()) {
+      return InstanceWritten{Second()};
+    }
     if (item.is_deleted) {
       return BackendRemoved{item.key};
     }
@@ -228,7 +247,25 @@
     FAIL("no read is pending");
   }
 
+  /// Answers the pending renewals, or whatever keeps the record.
+  void AnswerRegistration(StoreAnswer answer, absl::Time now) {
+    std::vector<control::StoreCall> pending = std::exchange(calls, {});
+    for (control::StoreCall& call : pending) {
+      const bool is_reader =
+          std::holds_alternative<control::StoreRange>(call.request) ||
+          std::holds_alternative<control::StoreWatch>(call.request);
+      if (is_reader) {
+        calls.push_back(std::move(call));
+        continue;
+      }
+      answer.id = call.id;
+      control.OnStoreAnswer(answer, now);
+    }
+  }
+
   std::vector<control::StoreCall> calls;
+  std::vector<std::pair<Endpoint, control::StoreCall>> peer_calls;
+  std::map<PeerCallId, StoreAnswer> peer_answers;
   std::shared_ptr<const ControlView> view;
   GatewayControl control;
 };
@@ -302,5 +339,75 @@
   CHECK(c.view->backends->servers.count("x") == 0);
 }
 
+// Guards against an instance without news because the store turns it away,
+// while its peers have them (a store that serves some machines only).
+TEST_CASE("an instance that the store turns away reads from another") {
+  Control c;
+  StoreAnswer first = Ok(5);
+  first.key_values = {{"config", "7", 5, false},
+                      {Second().Key(), "", 5, false}};
+  c.AnswerReader(first, kStart);
+  c.control.OnTick(kStart);
+  absl::Time now = kStart;
+  for (int i = 0; i < 40 && c.peer_calls.empty(); ++i) {
+    now += absl::Milliseconds(50);
+    c.control.OnTick(now);
+    c.AnswerRegistration(Failed(StoreStatus::kRefused), now);
+  }
+  REQUIRE(c.peer_calls.size() == 1);
+  const auto& [peer, call] = c.peer_calls[0];
+  CHECK(peer == Endpoint{"10.0.0.2", 90});
+  CHECK(std::get<control::StoreWatch>(call.request).after_revision == 5);
+  StoreAnswer news = Ok(8);
+  news.id = call.id;
+  news.key_values = {{"config", "9", 8, false}};
+  c.control.OnStoreAnswer(news, now);
+  CHECK(c.view->config->version() == 9);
+  SECTION("it does not pass on what it has read from another") {
+    c.control.OnPeerCall(1, control::StoreRange{}, now);
+    CHECK(c.peer_answers[1].status == StoreStatus::kNotFound);
+  }
+  SECTION("what is older than its own knowledge is not taken over") {
+    now += absl::Milliseconds(200);
+    c.control.OnTick(now);
+    REQUIRE(c.peer_calls.size() == 2);
+    StoreAnswer old = Ok(6);
+    old.id = c.peer_calls[1].second.id;
+    old.key_values = {{"x", "", 6, false}};
+    c.control.OnStoreAnswer(old, now);
+    CHECK(c.view->backends->servers.count("x") == 0);
+  }
+}
+
+// Guards against followers without answers, and against a reader that goes on
+// serving what it can't renew.
+TEST_CASE("an instance serves others while it reads the store itself") {
+  Control c;
+  c.control.OnPeerCall(1, control::StoreRange{}, kStart);
+  CHECK(c.peer_answers[1].status == StoreStatus::kNotFound);
+  StoreAnswer first = Ok(5);
+  first.key_values = {{"config", "7", 5, false}};
+  c.AnswerReader(first, kStart);
+  c.control.OnPeerCall(2, control::StoreRange{}, kStart);
+  CHECK(c.peer_answers[2].key_values.size() == 1);
+  CHECK(c.peer_answers[2].revision == 5);
+  control::StoreWatch watch;
+  watch.after_revision = 5;
+  watch.timeout = absl::Seconds(30);
+  c.control.OnPeerCall(3, watch, kStart);
+  c.control.OnPeerCall(4, watch, kStart);
+  c.control.OnPeerGone(4);
+  CHECK(c.peer_answers.count(3) == 0);
+  StoreAnswer news = Ok(6);
+  news.key_values = {{"config", "8", 6, false}};
+  c.AnswerReader(news, kStart + absl::Seconds(1));
+  CHECK(c.peer_answers[3].key_values.size() == 1);
+  CHECK(c.peer_answers.count(4) == 0);
+  watch.after_revision = 6;
+  c.control.OnPeerCall(5, watch, kStart + absl::Seconds(1));
+  c.AnswerReader(Failed(StoreStatus::kUnknown), kStart + absl::Seconds(2));
+  CHECK(c.peer_answers[5].status == StoreStatus::kRefused);
+}
+
 }  // namespace
 }  // namespace baobabwall::gateway
