Say once what makes a server available; hash its id once

The test for 'not draining, not paused, zone not evacuated' stood three times in balancer.cc; ids of all servers were hashed each 100 ms; the chosen server was looked up again by its id; kOwnPrefix was not used.

--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -21,10 +21,6 @@
 
 }  // namespace internal
 
-uint32_t Balancer::ServerHash(absl::string_view id) {
-  return static_cast<uint32_t>(base::StableHash(id));
-}
-
 void Balancer::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
 }
@@ -85,13 +81,17 @@
   return 0;
 }
 
+bool Balancer::IsAvailable(const ServerLoad& server, absl::Time now) const {
+  const BackendServer& info = server.server();
+  return !info.is_draining && !server.IsPaused(now) &&
+         evacuated_.count(info.zone) == 0;
+}
+
 bool Balancer::IsUsable(const PlacementQuery& query,
                         ServerLoad* server,
                         absl::Time now) const {
   const BackendServer& info = server->server();
-  if (info.is_draining || server->IsPaused(now) ||
-      evacuated_.count(info.zone) > 0 ||
-      internal::Contains(query.tried, info.id)) {
+  if (!IsAvailable(*server, now) || internal::Contains(query.tried, info.id)) {
     return false;
   }
   const std::vector<std::string>& regions = query.route->allowed_regions;
@@ -117,17 +117,17 @@
 }
 
 double Balancer::LoadLimit(const PlacementQuery& query,
+                           const BackendServer& server,
                            const Candidate& candidate,
                            absl::Time now) const {
-  const int slots = candidate.server->server().slots;
+  const int slots = server.slots;
   if (query.has_affinity && !candidate.is_known) {
     return std::max(1.0, slots * kSpillPart);
   }
   const double part = query.is_return ? kReturnQueuePart : kQueuePart;
   const double late = slots + std::max(1.0, slots * part);
   // As many as leave the answer within the objective.
-  const absl::Duration round_trip =
-      zones_->RoundTrip(candidate.server->server().zone);
+  const absl::Duration round_trip = zones_->RoundTrip(server.zone);
   const absl::Duration slack =
       query.objective - now - round_trip - candidate.work;
   const double in_time =
@@ -137,18 +137,17 @@
 }
 
 Balancer::Candidate Balancer::Weigh(const PlacementQuery& query,
-                                    ServerLoad* server,
+                                    const ServerLoad& server,
                                     bool is_first,
                                     const WorkTime& work,
                                     absl::Time now) const {
-  const BackendServer& info = server->server();
+  const BackendServer& info = server.server();
   const double slowness =
-      server->Slowness(now) * (server->IsCold(now) ? kColdServerFactor : 1.0);
+      server.Slowness(now) * (server.IsCold(now) ? kColdServerFactor : 1.0);
   const bool is_remembered =
-      !query.has_affinity || server->objects().Has(query.object, now);
+      !query.has_affinity || server.objects().Has(query.object, now);
   Candidate candidate;
-  candidate.server = server;
-  candidate.load = server->Total(now);
+  candidate.load = server.Total(now);
   candidate.is_known = is_remembered || is_first;
   candidate.work = work.warm * slowness;
   const double waiting = std::max(0.0, candidate.load + 1 - info.slots);
@@ -160,7 +159,7 @@
       (work.warm + (work.cold - work.warm) * cold_chance) * slowness;
   candidate.expected = round_trip + wait + own_work;
   candidate.cost = round_trip + wait * kWaitWeight + own_work +
-                   work.cold * server->FailureShare(now);
+                   work.cold * server.FailureShare(now);
   if (query.has_affinity && !is_first) {
     candidate.cost += work.warm * kOtherChoicePart;
   }
@@ -184,8 +183,7 @@
   absl::string_view best;
   for (const std::shared_ptr<ServerLoad>& server : of_service->second) {
     const BackendServer& info = server->server();
-    if (info.is_draining || server->IsPaused(now) || server->IsCold(now) ||
-        evacuated_.count(info.zone) > 0 ||
+    if (!IsAvailable(*server, now) || server->IsCold(now) ||
         zones_->RegionOf(info.zone) != home) {
       continue;
     }
@@ -206,6 +204,7 @@
   priorities_seen_[std::string(query.service)][query.route->priority] = now;
   const std::string first = FirstChoice(query, now);
   const WorkTime work = WorkTimeOf(query.service, *query.route);
+  std::shared_ptr<ServerLoad> chosen;
   Candidate best;
   absl::string_view refusal = "no-usable-server";
   for (const std::shared_ptr<ServerLoad>& server : of_service->second) {
@@ -213,20 +212,21 @@
       continue;
     }
     const Candidate candidate =
-        Weigh(query, server.get(), server->server().id == first, work, now);
-    if (candidate.load + 1 > LoadLimit(query, candidate, now)) {
+        Weigh(query, *server, server->server().id == first, work, now);
+    if (candidate.load + 1 >
+        LoadLimit(query, server->server(), candidate, now)) {
       refusal = "full";
       continue;
     }
-    if (best.server == nullptr || candidate.cost < best.cost) {
+    if (chosen == nullptr || candidate.cost < best.cost) {
+      chosen = server;
       best = candidate;
     }
   }
-  if (best.server == nullptr) {
+  if (chosen == nullptr) {
     return {nullptr, 0, {}, refusal};
   }
-  const auto chosen = servers_.find(best.server->server().id);
-  return {chosen->second, best.load, best.expected, {}};
+  return {std::move(chosen), best.load, best.expected, {}};
 }
 
 void Balancer::OnWork(const PlacementQuery& query,
@@ -259,9 +259,7 @@
     }
     for (const std::shared_ptr<ServerLoad>& server : servers) {
       const BackendServer& info = server->server();
-      const bool is_usable = !info.is_draining && !server->IsPaused(now) &&
-                             evacuated_.count(info.zone) == 0;
-      if (is_usable) {
+      if (IsAvailable(*server, now)) {
         loads[std::string(zones_->RegionOf(info.zone))].capacity +=
             info.slots / server->Slowness(now);
       }
@@ -275,7 +273,7 @@
   std::vector<std::pair<uint32_t, int>> loads;
   for (const auto& [id, server] : servers_) {
     if (server->own() > 0) {
-      loads.emplace_back(ServerHash(id), server->own());
+      loads.emplace_back(server->hash(), server->own());
     }
   }
   return loads;
@@ -283,7 +281,7 @@
 
 void Balancer::SetPeerLoads(const absl::flat_hash_map<uint32_t, int>& loads) {
   for (const auto& [id, server] : servers_) {
-    const auto found = loads.find(ServerHash(id));
+    const auto found = loads.find(server->hash());
     server->SetPeers(found == loads.end() ? 0 : found->second);
   }
 }
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -113,13 +113,15 @@
   /// \brief Requests that other instances have in flight, by ServerHash().
   void SetPeerLoads(const absl::flat_hash_map<uint32_t, int>& loads);
 
-  static uint32_t ServerHash(absl::string_view id);
+  /// \returns what names a backend server, or a service, in heartbeats.
+  static uint32_t ServerHash(absl::string_view id) {
+    return ServerLoad::HashOf(id);
+  }
 
   size_t server_count() const { return servers_.size(); }
 
  private:
   struct Candidate {
-    ServerLoad* server = nullptr;
     double load = 0;
     absl::Duration expected;
     absl::Duration cost;
@@ -127,18 +129,21 @@
     bool is_known = false;  ///< It remembers the object, or will.
   };
 
+  /// \returns whether a server takes new work at all.
+  bool IsAvailable(const ServerLoad& server, absl::Time now) const;
   bool IsUsable(const PlacementQuery& query,
                 ServerLoad* server,
                 absl::Time now) const;
   int64_t ColdShare(const BackendServer& server) const;
   double LoadLimit(const PlacementQuery& query,
+                   const BackendServer& server,
                    const Candidate& candidate,
                    absl::Time now) const;
   /// \returns whether the service lately had requests of a more urgent route.
   bool HasMoreUrgent(const PlacementQuery& query, absl::Time now) const;
   /// \param is_first whether it is the first choice for the object.
   Candidate Weigh(const PlacementQuery& query,
-                  ServerLoad* server,
+                  const ServerLoad& server,
                   bool is_first,
                   const WorkTime& work,
                   absl::Time now) const;
--- a/packages/gateway/src/instance_record.h
+++ b/packages/gateway/src/instance_record.h
@@ -37,9 +37,6 @@
 /// Prefix of the reports of requests that crash backend servers.
 inline constexpr absl::string_view kCrashPrefix = "baobabwall/crashes/";
 
-/// Prefix of all keys that the product writes.
-inline constexpr absl::string_view kOwnPrefix = "baobabwall/";
-
 }  // namespace baobabwall::gateway
 
 #endif  // GATEWAY_SRC_INSTANCE_RECORD_H_
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "base/base.h"
 #include "gateway/src/backend_server.h"
@@ -35,7 +36,16 @@
   static constexpr absl::Duration kMaxPause = absl::Seconds(4);
 
   explicit ServerLoad(const BackendServer& server)
-      : server_(server), requests_of_second_(absl::Seconds(1)) {}
+      : server_(server),
+        hash_(HashOf(server.id)),
+        requests_of_second_(absl::Seconds(1)) {}
+
+  static uint32_t HashOf(absl::string_view id) {
+    return static_cast<uint32_t>(base::StableHash(id));
+  }
+
+  /// \returns what names it in heartbeats.
+  uint32_t hash() const { return hash_; }
 
   const BackendServer& server() const { return server_; }
   /// \brief Takes over a newer description of the same incarnation.
@@ -81,6 +91,7 @@
   double Forgotten(absl::Time since, absl::Time now) const;
 
   BackendServer server_;
+  uint32_t hash_;
   ObjectMemory objects_;
   int own_ = 0;
   int peers_ = 0;
