Let instances that carry callers warm up cold servers

Change: they are drawn from those that the directory names for the zone; the shares are found once and kept until instances, servers or services change. Test: gateway_decisions_test, 'instances that carry callers warm up cold servers' (0 to 9 owners without callers before).

--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/base.h"
+#include "gateway/src/directory.h"
 
 namespace baobabwall::gateway {
 namespace internal {
@@ -23,10 +24,12 @@
 
 void Balancer::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
+  cold_shares_.clear();
 }
 
 void Balancer::SetBackends(const BackendSet& set) {
   evacuated_ = set.evacuated_zones;
+  cold_shares_.clear();
   for (auto known = servers_.begin(); known != servers_.end();) {
     const auto found = set.servers.find(known->first);
     const bool is_same =
@@ -49,26 +52,31 @@
 
 void Balancer::SetInstances(std::vector<InstanceRecord> instances) {
   instances_ = std::move(instances);
+  cold_shares_.clear();
 }
 
-int64_t Balancer::ColdShare(const BackendServer& server) const {
-  const ServiceSpec* service = config_->FindService(server.service);
+int64_t Balancer::ColdShare(const ServerLoad& server) {
+  const auto known = cold_shares_.find(server.hash());
+  if (known != cold_shares_.end()) {
+    return known->second;
+  }
+  const int64_t share = FindColdShare(server);
+  cold_shares_.emplace(server.hash(), share);
+  return share;
+}
+
+int64_t Balancer::FindColdShare(const ServerLoad& server) const {
+  const BackendServer& info = server.server();
+  const ServiceSpec* service = config_->FindService(info.service);
   if (service == nullptr) {
     return 1;
   }
-  // The instances of the server's zone, else of its region, else all.
-  const absl::string_view region = zones_->RegionOf(server.zone);
+  // Those that carry the callers of the server's zone.
+  const CallerPlace place{info.zone, std::string(zones_->RegionOf(info.zone))};
   std::vector<std::pair<uint64_t, const InstanceRecord*>> ranked;
-  for (int level = 0; level < 3 && ranked.empty(); ++level) {
-    for (const InstanceRecord& instance : instances_) {
-      const bool fits = level == 2 ||
-                        (level == 1 && instance.region == region) ||
-                        (level == 0 && instance.zone == server.zone);
-      if (fits) {
-        ranked.emplace_back(
-            base::StableHash(instance.name, ServerHash(server.id)), &instance);
-      }
-    }
+  for (const InstanceRecord* instance : Directory::Choose(place, instances_)) {
+    ranked.emplace_back(base::StableHash(instance->name, server.hash()),
+                        instance);
   }
   std::sort(ranked.rbegin(), ranked.rend());
   const int owners = std::min<int>(kColdOwners, ranked.size());
@@ -89,7 +97,7 @@
 
 bool Balancer::IsUsable(const PlacementQuery& query,
                         ServerLoad* server,
-                        absl::Time now) const {
+                        absl::Time now) {
   const BackendServer& info = server->server();
   if (!IsAvailable(*server, now) || internal::Contains(query.tried, info.id)) {
     return false;
@@ -99,7 +107,7 @@
       !internal::Contains(regions, zones_->RegionOf(info.zone))) {
     return false;
   }
-  return !server->IsCold(now) || server->HasColdRoom(ColdShare(info), now);
+  return !server->IsCold(now) || server->HasColdRoom(ColdShare(*server), now);
 }
 
 bool Balancer::HasMoreUrgent(const PlacementQuery& query,
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -75,7 +75,7 @@
   static constexpr absl::Duration kUrgentMemory = absl::Seconds(2);
   /// A server within its first seconds needs this many times as long.
   static constexpr double kColdServerFactor = 2.0;
-  /// Instances that may send to a cold server.
+  /// Instances that may send to a cold server, of those that carry callers.
   static constexpr int kColdOwners = 2;
 
   explicit Balancer(ZoneMap* zones, std::string self)
@@ -133,8 +133,10 @@
   bool IsAvailable(const ServerLoad& server, absl::Time now) const;
   bool IsUsable(const PlacementQuery& query,
                 ServerLoad* server,
-                absl::Time now) const;
-  int64_t ColdShare(const BackendServer& server) const;
+                absl::Time now);
+  /// \returns requests a second that this instance may send to a cold server.
+  int64_t ColdShare(const ServerLoad& server);
+  int64_t FindColdShare(const ServerLoad& server) const;
   double LoadLimit(const PlacementQuery& query,
                    const BackendServer& server,
                    const Candidate& candidate,
@@ -159,6 +161,8 @@
       by_service_;
   std::set<std::string, std::less<>> evacuated_;
   std::vector<InstanceRecord> instances_;
+  /// By server; found anew when instances, servers or services change.
+  absl::flat_hash_map<uint32_t, int64_t> cold_shares_;
   absl::flat_hash_map<std::string, RegionPlan> plans_;  ///< By service.
   /// Last request by service and priority.
   absl::flat_hash_map<std::string, std::map<int, absl::Time>> priorities_seen_;
--- a/packages/gateway/src/directory.cc
+++ b/packages/gateway/src/directory.cc
@@ -29,8 +29,9 @@
 
 }  // namespace internal
 
-std::vector<Endpoint> Directory::Name(const CallerPlace& caller,
-                                      absl::Span<const InstanceRecord> live) {
+std::vector<const InstanceRecord*> Directory::Choose(
+    const CallerPlace& caller,
+    absl::Span<const InstanceRecord> live) {
   std::vector<const InstanceRecord*> nearest = internal::Nearest(caller, live);
   std::stable_sort(nearest.begin(), nearest.end(),
                    [](const InstanceRecord* a, const InstanceRecord* b) {
@@ -40,19 +41,28 @@
   for (const InstanceRecord* instance : nearest) {
     total += instance->cpu_share;
   }
-  std::vector<Endpoint> named;
+  std::vector<const InstanceRecord*> chosen;
   double sum = 0;
   double weakest = 0;
   for (const InstanceRecord* instance : nearest) {
     const bool is_enough = sum >= kStrongPart * total;
-    if (named.size() >= kMaxNamed ||
+    if (chosen.size() >= kMaxNamed ||
         (is_enough && instance->cpu_share < weakest)) {
       break;
     }
-    named.push_back(instance->callers);
+    chosen.push_back(instance);
     sum += instance->cpu_share;
     weakest = instance->cpu_share;
   }
+  return chosen;
+}
+
+std::vector<Endpoint> Directory::Name(const CallerPlace& caller,
+                                      absl::Span<const InstanceRecord> live) {
+  std::vector<Endpoint> named;
+  for (const InstanceRecord* instance : Choose(caller, live)) {
+    named.push_back(instance->callers);
+  }
   return named;
 }
 
--- a/packages/gateway/src/directory.h
+++ b/packages/gateway/src/directory.h
@@ -28,6 +28,12 @@
   static constexpr double kStrongPart = 0.3;
 
   /// \param live instances that take callers.
+  /// \returns those that a caller is told to use; point into `live`.
+  static std::vector<const InstanceRecord*> Choose(
+      const CallerPlace& caller,
+      absl::Span<const InstanceRecord> live);
+
+  /// \returns where those that Choose() finds take callers.
   static std::vector<Endpoint> Name(const CallerPlace& caller,
                                     absl::Span<const InstanceRecord> live);
 };
--- a/test/free_port.h
+++ b/test/free_port.h
@@ -3,8 +3,9 @@
 
 namespace baobabwall::test {
 
-/// \brief Finds a TCP port of 127.0.0.1 on which nothing listens.
-/// \returns the port, or 0 if there is none.
+/// \brief Finds a port of 127.0.0.1 that nothing holds, for TCP and UDP, and
+/// that no other test process is given.
+/// \returns the port, not returned before; 0 if there is none.
 int FreePort();
 
 }  // namespace baobabwall::test
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -310,5 +310,47 @@
   CHECK(sent <= 8);
 }
 
+// Guards against servers that join and get nothing: their first requests were
+// left to instances to which the directory sends no callers.
+TEST_CASE("instances that carry callers warm up cold servers") {
+  std::vector<InstanceRecord> records;
+  for (int i = 0; i < 9; ++i) {
+    records.push_back(
+        Instance("i" + std::to_string(i), "a-1", "a", i < 2 ? 0.5 : 0.1));
+  }
+  const std::vector<std::string> named = Named({"a-1", "a"}, records);
+  REQUIRE(named.size() == 2);
+  RoutingConfig::Builder builder;
+  builder.AddService({"s", "/health", 330, absl::Seconds(3), 8})
+      .AddRoute("h", RouteOf("r", "/", {{"s", 1}}));
+  const auto config = builder.Build();
+  std::map<std::string, int> owners;
+  for (const InstanceRecord& record : records) {
+    ZoneMap zones({{"a-1", "a"}}, record.zone);
+    Balancer balancer(&zones, record.name);
+    balancer.SetConfig(config);
+    balancer.SetInstances(records);
+    for (int i = 0; i < 20; ++i) {
+      BackendServer server;
+      server.id = "cold-" + std::to_string(i);
+      server.service = "s";
+      server.zone = "a-1";
+      server.slots = 4;
+      server.cold_until = kStart + absl::Seconds(3);
+      BackendSet set;
+      set.servers.emplace(server.id, server);
+      balancer.SetBackends(set);
+      PlacementQuery query;
+      query.route = config->FindRoute("h", "/");
+      query.service = "s";
+      query.objective = kStart + absl::Seconds(1);
+      if (balancer.Choose(query, kStart).server != nullptr) {
+        ++owners[record.name];
+      }
+    }
+  }
+  CHECK(owners == std::map<std::string, int>{{"i0", 20}, {"i1", 20}});
+}
+
 }  // namespace
 }  // namespace baobabwall::gateway
--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -1,13 +1,17 @@
 // Randomized soak of real gateway processes under faults from outside.
-//   gateway_soak --seed=N --seconds=N
+//   gateway_soak --seed=N --seconds=N [--instances=N]
+// With more than eight instances a few read the store for the others.
 // Prints the seed, the faults in order, and each broken promise; ends with 1 if
 // there is any.
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -20,14 +24,18 @@
 
 ABSL_FLAG(uint64_t, seed, 1, "seed of the faults");
 ABSL_FLAG(int, seconds, 20, "time during which faults come");
+ABSL_FLAG(int, instances, 3, "gateway processes");
 
 namespace baobabwall::test {
 namespace {
 
 constexpr int kCallers = 5;
-constexpr int kInstances = 3;
 /// After the last fault, requests must succeed within this time.
 constexpr absl::Duration kRecovery = absl::Seconds(15);
+/// Then a configuration must be in force within this time.
+constexpr absl::Duration kConfigBound = absl::Milliseconds(2500);
+/// First version with the route /later/.
+constexpr int kLaterVersion = 10;
 /// Requests in a row that must succeed then.
 constexpr int kGoodInRow = 20;
 
@@ -38,20 +46,25 @@
 
 class Soak {
  public:
-  explicit Soak(uint64_t seed)
+  Soak(uint64_t seed, int instances)
       : random_(seed),
+        instances_(instances),
         fleet_(absl::StrCat("soak-", seed)),
         store_proxy_(fleet_.platform().store_port()),
         started_(absl::Now()) {
     fleet_.SetStorePort(store_proxy_.port());
+    fleet_.platform().SetAnnouncedPort([this](int port) {
+      backend_proxies_.push_back(std::make_unique<LoopbackProxy>(port));
+      return backend_proxies_.back()->port();
+    });
     fleet_.PutConfig(version_);
     for (int i = 0; i < 4; ++i) {
       AddBackend();
     }
-    for (int i = 0; i < kInstances; ++i) {
-      fleet_.Start(Name(i), i < 2 ? "a-1" : "a-2");
+    for (int i = 0; i < instances_; ++i) {
+      fleet_.Start(Name(i), i % 3 < 2 ? "a-1" : "a-2");
     }
-    for (int i = 0; i < kInstances; ++i) {
+    for (int i = 0; i < instances_; ++i) {
       Expect(fleet_.WaitReady(Name(i)),
              absl::StrCat(Name(i), " is ready at the start"));
     }
@@ -69,6 +82,7 @@
     }
     EndFaults();
     CheckRecovery();
+    CheckConfiguration();
     is_stopping_ = true;
     for (std::thread& caller : callers) {
       caller.join();
@@ -110,7 +124,7 @@
     for (int i = 0; !is_stopping_; ++i) {
       const std::string id = absl::StrCat("id-", caller, "-", i);
       const bool is_booking = random.Below(2) == 0;
-      const int instance = static_cast<int>(random.Below(kInstances));
+      const int instance = static_cast<int>(random.Below(instances_));
       const CallerAnswer answer =
           Call(fleet_.caller_port(Name(instance)), is_booking ? "POST" : "GET",
                is_booking ? "/book/x" : "/read/x",
@@ -130,9 +144,9 @@
 
   void Fault() {
     ++faults_;
-    const int instance = static_cast<int>(random_.Below(kInstances));
+    const int instance = static_cast<int>(random_.Below(instances_));
     ChildProcess& process = fleet_.process(Name(instance));
-    switch (random_.Below(12)) {
+    switch (random_.Below(14)) {
       case 0:
         Note(absl::StrCat("kill ", instance));
         process.Signal(SIGKILL);
@@ -189,6 +203,10 @@
       case 10:
         ReplaceBackend();
         break;
+      case 11:
+      case 12:
+        HarmBackendConnections();
+        break;
       default: {
         const std::string& server = live_[random_.Below(live_.size())];
         const int each = static_cast<int>(random_.Below(6));
@@ -198,6 +216,19 @@
     }
   }
 
+  void HarmBackendConnections() {
+    const size_t which = random_.Below(backend_proxies_.size());
+    const ProxyMode modes[] = {ProxyMode::kPass, ProxyMode::kDelay,
+                               ProxyMode::kSilent, ProxyMode::kDropReplies};
+    const size_t mode = random_.Below(5);
+    Note(absl::StrCat("connections of backend ", which + 1, " mode ", mode));
+    if (mode == 4) {
+      backend_proxies_[which]->Reset();
+    } else {
+      backend_proxies_[which]->SetMode(modes[mode]);
+    }
+  }
+
   void ReplaceBackend() {
     const size_t which = random_.Below(live_.size());
     const std::string server = live_[which];
@@ -217,13 +248,16 @@
     Note("faults end");
     fleet_.platform().SetStoreMode(StoreMode::kUp);
     store_proxy_.SetMode(ProxyMode::kPass);
+    for (const auto& proxy : backend_proxies_) {
+      proxy->SetMode(ProxyMode::kPass);
+    }
     for (const std::string& server : live_) {
       fleet_.platform().LoseEachAnswer(server, 0);
     }
   }
 
   void CheckRecovery() {
-    for (int i = 0; i < kInstances; ++i) {
+    for (int i = 0; i < instances_; ++i) {
       const int port = fleet_.caller_port(Name(i));
       int good = 0;
       const bool is_back = WaitFor(
@@ -240,6 +274,20 @@
     }
   }
 
+  void CheckConfiguration() {
+    version_ = std::max(version_, kLaterVersion) + 1;
+    fleet_.PutConfig(version_);
+    const absl::Time end = absl::Now() + kConfigBound;
+    for (int i = 0; i < instances_; ++i) {
+      const std::string marker =
+          absl::StrCat("config: in force version=", version_, " ");
+      const bool is_in_force = WaitFor(
+          [&] { return absl::StrContains(fleet_.Log(Name(i)), marker); },
+          std::max(absl::ZeroDuration(), end - absl::Now()));
+      Expect(is_in_force, absl::StrCat(Name(i), " has the configuration"));
+    }
+  }
+
   void CheckRuns() {
     for (const auto& [id, seen] : fleet_.platform().seen()) {
       const auto found = sent_.find(id);
@@ -256,6 +304,8 @@
   }
 
   base::Random random_;
+  int instances_;
+  std::vector<std::unique_ptr<LoopbackProxy>> backend_proxies_;
   GatewayFleet fleet_;
   LoopbackProxy store_proxy_;
   absl::Time started_;
@@ -277,6 +327,6 @@
   absl::ParseCommandLine(argc, argv);
   const uint64_t seed = absl::GetFlag(FLAGS_seed);
   std::cout << "seed=" << seed << "\n";
-  baobabwall::test::Soak soak(seed);
+  baobabwall::test::Soak soak(seed, absl::GetFlag(FLAGS_instances));
   return soak.Run(absl::Seconds(absl::GetFlag(FLAGS_seconds)));
 }
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -86,6 +86,7 @@
   std::string zone;
   absl::Duration work;
   int port = 0;
+  int announced_port = 0;
   bool is_draining = false;
   bool is_full = false;
   int lose_each = 0;
@@ -310,7 +311,7 @@
 void PlatformStandin::PutEntry(const Backend& backend) {
   const json entry = {
       {"service", backend.service},
-      {"address", absl::StrCat("127.0.0.1:", backend.port)},
+      {"address", absl::StrCat("127.0.0.1:", backend.announced_port)},
       {"zone", backend.zone},
       {"version", "v1"},
       {"capacity_slots", 5},
@@ -333,6 +334,7 @@
   backend->zone = zone;
   backend->work = work;
   backend->port = FreePort();
+  backend->announced_port = announced_port_(backend->port);
   Do([&] {
     backend->listener = std::make_unique<edge::HttpListener>(
         &io_, edge::HttpListener::Hooks{
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -52,6 +52,12 @@
   /// \brief Makes watches of older revisions fail, and cuts the pending ones.
   void ForgetHistory();
 
+  /// \brief Backend servers added from now on are announced at the port that
+  /// this returns for their own, such as that of a proxy.
+  void SetAnnouncedPort(std::function<int(int port)> announced) {
+    announced_port_ = std::move(announced);
+  }
+
   /// \brief Starts a backend server and its entry in the store.
   /// \param work time of work of each request.
   void AddBackend(const std::string& id,
@@ -100,6 +106,7 @@
   StoreMode mode_ = StoreMode::kUp;
   int64_t oldest_revision_ = 0;
   std::atomic<int> watch_calls_{0};
+  std::function<int(int)> announced_port_ = [](int port) { return port; };
   std::vector<Watch> watches_;
   std::map<std::string, std::unique_ptr<Backend>> backends_;
   std::vector<std::unique_ptr<Backend>> crashed_;
