Hold requests during the first read of the state

Ruled out: later ports (callers would find nobody at the addresses they keep). Change: requests that come before the first read wait for it, up to 1 s after the start of the process, with their own time of arrival; then 503 as before. Test: gateway_process_test, 'requests during the first read of the state wait for it' (503 before, 200 after).

--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -56,16 +56,7 @@
                {[this](ExchangeId exchange, HttpRequest request) {
                   OnRequest(exchange, std::move(request));
                 },
-                [this](ExchangeId exchange) {
-                  const auto known = by_exchange_.find(exchange);
-                  if (known == by_exchange_.end()) {
-                    return;
-                  }
-                  const gateway::RequestId id = known->second;
-                  by_exchange_.erase(known);
-                  Perform(steering_.OnCallerGone(id, transport::SteadyNow()),
-                          nullptr);
-                }}),
+                [this](ExchangeId exchange) { OnCallerGone(exchange); }}),
       readiness_(&io_,
                  {[this](ExchangeId exchange, const HttpRequest& request) {
                     OnReadinessCheck(exchange, request);
@@ -111,6 +102,7 @@
 }
 
 void TrafficLoop::Start() {
+  started_ = transport::SteadyNow();
   Tick();
   thread_ = std::thread([this] { io_.run(); });
 }
@@ -163,6 +155,7 @@
   peers_.SetRecords(view_->instances, now);
   steering_.SetCrashReports(view_->crashing_requests, now);
   TickSlow(now);
+  SteerEarly();
 }
 
 bool TrafficLoop::IsReady() const {
@@ -173,6 +166,34 @@
 
 void TrafficLoop::OnRequest(ExchangeId exchange, HttpRequest request) {
   const absl::Time now = transport::SteadyNow();
+  if (view_ == nullptr && now - started_ < kStartWait) {
+    early_.emplace(exchange, EarlyRequest{std::move(request), now});
+    return;
+  }
+  Steer(exchange, std::move(request), now);
+}
+
+void TrafficLoop::SteerEarly() {
+  std::map<ExchangeId, EarlyRequest> early = std::exchange(early_, {});
+  for (auto& [exchange, waiting] : early) {
+    Steer(exchange, std::move(waiting.request), waiting.arrival);
+  }
+}
+
+void TrafficLoop::OnCallerGone(ExchangeId exchange) {
+  early_.erase(exchange);
+  const auto known = by_exchange_.find(exchange);
+  if (known == by_exchange_.end()) {
+    return;
+  }
+  const gateway::RequestId id = known->second;
+  by_exchange_.erase(known);
+  Perform(steering_.OnCallerGone(id, transport::SteadyNow()), nullptr);
+}
+
+void TrafficLoop::Steer(ExchangeId exchange,
+                        HttpRequest request,
+                        absl::Time arrival) {
   gateway::CallerRequest caller = dialect_->read_request(request);
   if (is_refusing_) {
     callers_.Answer(exchange,
@@ -181,14 +202,15 @@
     return;
   }
   caller.id = ++last_request_;
-  caller.arrival = now;
+  caller.arrival = arrival;
   Pending pending;
   pending.exchange = exchange;
   pending.caller_id = caller.caller_id;
   pending.request = std::make_shared<const HttpRequest>(std::move(request));
   by_exchange_.emplace(exchange, caller.id);
   pending_.emplace(caller.id, std::move(pending));
-  Perform(steering_.OnRequest(std::move(caller), now), nullptr);
+  Perform(steering_.OnRequest(std::move(caller), transport::SteadyNow()),
+          nullptr);
 }
 
 void TrafficLoop::OnAttemptEnd(const gateway::AttemptEnd& end,
@@ -318,6 +340,9 @@
                  << absl::ToInt64Milliseconds(now - last_tick_);
   }
   last_tick_ = now;
+  if (now - started_ >= kStartWait) {
+    SteerEarly();
+  }
   Perform(steering_.OnTick(now), nullptr);
   if (now - last_peer_tick_ >= kPeerTick) {
     TickPeers(now);
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -35,6 +36,9 @@
   static constexpr double kServePart = 0.5;
   /// The process ends this long before it would be killed.
   static constexpr absl::Duration kKillMargin = absl::Milliseconds(300);
+  /// Requests that come before the first read of the state wait for it until
+  /// the process is this old: two calls to a slow store.
+  static constexpr absl::Duration kStartWait = absl::Seconds(1);
   /// A leaving instance serves at least this part of the grace, also when it is
   /// idle: callers keep the answer to a lookup for up to three times its time
   /// to live, and until then find nobody else in a zone with one instance.
@@ -76,6 +80,10 @@
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnAttemptEnd(const gateway::AttemptEnd& end,
                     std::optional<HttpResponse> answer);
+  void Steer(ExchangeId exchange, HttpRequest request, absl::Time arrival);
+  /// Steers the requests that waited for the first read of the state.
+  void SteerEarly();
+  void OnCallerGone(ExchangeId exchange);
   void Perform(gateway::SteeringActions actions,
                std::optional<HttpResponse>* answer);
   void Deliver(gateway::RequestId id, HttpResponse answer);
@@ -91,6 +99,11 @@
   void AddMetrics();
   std::vector<gateway::InstanceRecord> LiveInstances(absl::Time now) const;
 
+  struct EarlyRequest {
+    HttpRequest request;
+    absl::Time arrival;
+  };
+
   settings::GatewaySettings settings_;
   const Dialect* dialect_;
   gateway::InstanceRecord self_;
@@ -109,6 +122,8 @@
   PeerChannel channel_;
   asio::steady_timer timer_;
   std::shared_ptr<const gateway::ControlView> view_;
+  absl::Time started_ = absl::InfinitePast();
+  std::map<ExchangeId, EarlyRequest> early_;
   absl::flat_hash_map<gateway::RequestId, Pending> pending_;
   absl::flat_hash_map<ExchangeId, gateway::RequestId> by_exchange_;
   gateway::RequestId last_request_ = 0;
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "gateway_fleet.h"
+#include "loopback_proxy.h"
 
 namespace baobabwall::test {
 namespace {
@@ -103,6 +104,43 @@
   }
 }
 
+// Guards against callers that are refused although the first read of the state
+// is about to end: they were connected to the process before it.
+TEST_CASE("requests during the first read of the state wait for it") {
+  GatewayFleet fleet("start");
+  LoopbackProxy store(fleet.platform().store_port());
+  store.SetMode(ProxyMode::kDelay);
+  fleet.SetStorePort(store.port());
+  fleet.PutConfig(1);
+  fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(20));
+  fleet.Start("one", "a-1");
+  std::vector<int> statuses;
+  const absl::Time end = absl::Now() + absl::Seconds(3);
+  while (absl::Now() < end) {
+    const int status = Send(fleet.caller_port("one"), "/read/x",
+                            absl::StrCat("id-", statuses.size()))
+                           .status;
+    if (status != 0) {
+      statuses.push_back(status);
+    }
+  }
+  REQUIRE(!statuses.empty());
+  CHECK(statuses.front() == 200);
+  SECTION("but not longer than the read may take") {
+    store.SetMode(ProxyMode::kSilent);
+    fleet.process("one").Signal(SIGKILL);
+    fleet.process("one").Wait();
+    fleet.Restart("one");
+    CallerAnswer answer;
+    CHECK(WaitFor([&] {
+      answer = Send(fleet.caller_port("one"), "/read/x", "id-late");
+      return answer.status != 0;
+    }));
+    CHECK(answer.status == 503);
+    CHECK(answer.retry_after > absl::ZeroDuration());
+  }
+}
+
 // Guards against work for a server that has said that it leaves, also if the
 // store has forgotten its history meanwhile.
 TEST_CASE("a draining server gets no new work") {
