Forget the pages of a read that was not completed

Cause: found by reading. Ids of servers and zones gathered for a complete read were kept when the read began anew (history gone, another source), so a server that was removed meanwhile stayed until its next change. Change: the reader says when a read begins; what was gathered is dropped. Test: shared_state_test, 'a read that begins anew forgets its first pages' (server x stayed before, gone after).

--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -29,6 +29,10 @@
                [this] {
                  registry_.OnStoreReturn(now_);
                  hooks_.log("store: returned");
+               },
+               [this] {
+                 read_servers_.clear();
+                 read_zones_.clear();
                }}),
       registration_(self_, seed + internal::kRegistrationSeed),
       sources_(self_),
@@ -248,8 +252,6 @@
   if (registration_.is_registered() && present.count(self_.Key()) == 0) {
     registration_.OnRecordRemoved(now_);
   }
-  read_servers_.clear();
-  read_zones_.clear();
   was_read_ = true;
   is_changed_ = true;
   hooks_.log(absl::StrCat("store: read keys=", keys.size(),
--- a/packages/gateway/src/state_reader.cc
+++ b/packages/gateway/src/state_reader.cc
@@ -84,6 +84,7 @@
 void StateReader::OnPage(const control::StoreAnswer& answer, absl::Time now) {
   if (keys_.empty()) {
     page_revision_ = answer.revision;
+    hooks_.on_read_begins();
   }
   for (const control::StoreKeyValue& item : answer.key_values) {
     keys_.push_back(item.key);
--- a/packages/gateway/src/state_reader.h
+++ b/packages/gateway/src/state_reader.h
@@ -42,6 +42,9 @@
     std::function<void(const std::vector<std::string>& keys)> on_complete_read;
     std::function<void()> on_store_lost;
     std::function<void()> on_store_returned;
+    /// The first page of a read of all keys has come; earlier pages of a read
+    /// that was not completed don't count.
+    std::function<void()> on_read_begins;
   };
 
   StateReader(std::string prefix, uint64_t seed, Hooks hooks);
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -38,7 +38,7 @@
                changes.push_back(item.key);
              },
              [this](const std::vector<std::string>& keys) { complete = keys; },
-             [this] { ++lost; }, [this] { ++returned; }}) {}
+             [this] { ++lost; }, [this] { ++returned; }, [] {}}) {}
 
   template <typename Call>
   Call Next(absl::Time now) {
@@ -289,6 +289,24 @@
   CHECK(c.view->config->version() == 12);
 }
 
+// Guards against servers that stay for ever since the first pages of a read
+// named them, which then began anew without them.
+TEST_CASE("a read that begins anew forgets its first pages") {
+  Control c;
+  StoreAnswer page = Ok(5);
+  page.key_values = {{"config", "7", 3, false}, {"x", "", 4, false}};
+  page.has_more = true;
+  c.AnswerReader(page, kStart);
+  c.AnswerReader(Failed(StoreStatus::kHistoryGone), kStart);
+  StoreAnswer all = Ok(9);
+  all.key_values = {{"config", "7", 3, false}, {"y", "", 8, false}};
+  c.AnswerReader(all, kStart);
+  REQUIRE(c.view != nullptr);
+  c.control.OnTick(kStart + BackendRegistry::kOutageGrace);
+  CHECK(c.view->backends->servers.count("y") == 1);
+  CHECK(c.view->backends->servers.count("x") == 0);
+}
+
 // Guards against reports that stay in the store for ever, or stop a request for
 // ever.
 TEST_CASE("a crash report is written under a lease and ends with it") {
