Renew a watch when the peers know more

Ruled out: a lost heartbeat or route (the instance served throughout). Change: heartbeats tell the state's revision, in place of the configuration's version that nothing read; an instance that is behind for 1.2 s watches anew. Test: shared_state_test, 'an instance that is behind its peers renews its watch'.

--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -96,6 +96,12 @@
   asio::post(io_, [this] { control_.Leave(transport::SteadyNow()); });
 }
 
+void ControlThread::NotePeerRevision(int64_t revision) {
+  asio::post(io_, [this, revision] {
+    control_.OnPeerRevision(revision, transport::SteadyNow());
+  });
+}
+
 void ControlThread::ReportCrash(uint64_t fingerprint) {
   asio::post(io_, [this, fingerprint] {
     control_.ReportCrash(fingerprint, transport::SteadyNow());
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -35,6 +35,8 @@
   void Stop();
   /// \brief Removes this instance's record from the store. Thread-safe.
   void Leave();
+  /// \brief Another instance knows the state up to this revision. Thread-safe.
+  void NotePeerRevision(int64_t revision);
   /// \brief Tells the others of a request that crashes servers. Thread-safe.
   void ReportCrash(uint64_t fingerprint);
 
--- a/packages/edge/src/gateway_process.cc
+++ b/packages/edge/src/gateway_process.cc
@@ -152,7 +152,8 @@
   TrafficLoop traffic(
       settings, &dialect, self, seed, &metrics,
       {[&](uint64_t fingerprint) { control->ReportCrash(fingerprint); },
-       [&] { supervisor->End(); }});
+       [&] { supervisor->End(); },
+       [&](int64_t revision) { control->NotePeerRevision(revision); }});
   ControlThread control_thread(
       &dialect, {settings.store.address, settings.store.port}, self, seed,
       [&](std::shared_ptr<const gateway::ControlView> view) {
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -369,8 +369,7 @@
   heartbeat.is_ready = IsReady();
   heartbeat.is_leaving = leaving_since_ != absl::InfiniteFuture();
   heartbeat.is_active = steering_.IsActive(now);
-  heartbeat.config_version =
-      steering_.config() == nullptr ? 0 : steering_.config()->version();
+  heartbeat.state_revision = view_ == nullptr ? 0 : view_->revision;
   heartbeat.loads = steering_.balancer().OwnLoads();
   for (const auto& [service, slots] : steering_.Demand(now)) {
     heartbeat.demand.emplace_back(gateway::Balancer::ServerHash(service),
@@ -378,6 +377,10 @@
   }
   channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat.is_active, now));
   steering_.balancer().SetPeerLoads(peers_.Loads(now));
+  const int64_t newest = peers_.NewestRevision(now);
+  if (newest > heartbeat.state_revision) {
+    hooks_.peer_revision(newest);
+  }
 }
 
 void TrafficLoop::TickSlow(absl::Time now) {
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -47,6 +47,8 @@
   struct Hooks {
     std::function<void(uint64_t fingerprint)> report_crash;
     std::function<void()> left;
+    /// Another instance knows the state up to this revision of the store.
+    std::function<void(int64_t revision)> peer_revision;
   };
 
   TrafficLoop(const settings::GatewaySettings& settings,
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -1,5 +1,6 @@
 #include "gateway/src/gateway_control.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -103,6 +104,22 @@
   return serves ? StateRelay::State::kServing : StateRelay::State::kNoReader;
 }
 
+void GatewayControl::OnPeerRevision(int64_t revision, absl::Time now) {
+  if (revision <= reader_.revision()) {
+    behind_since_ = absl::InfiniteFuture();
+    return;
+  }
+  behind_since_ = std::min(behind_since_, now);
+  if (now - behind_since_ < kBehind || !reader_.is_pending()) {
+    return;
+  }
+  hooks_.log(absl::StrCat("store: watch renewed revision=", reader_.revision(),
+                          " of_peers=", revision));
+  behind_since_ = absl::InfiniteFuture();
+  reader_.GiveUp(now);
+  OnTick(now);
+}
+
 void GatewayControl::OnPeerCall(PeerCallId id,
                                 const control::StoreRequest& request,
                                 absl::Time now) {
@@ -124,6 +141,7 @@
   if (is_answered && !is_stale) {
     reader_.OnAnswer(answer, now);
     mirror_.OnRevision(reader_.revision());
+    behind_since_ = absl::InfiniteFuture();
     return;
   }
   sources_.OnFailed(source_, now);
@@ -272,6 +290,7 @@
     view->instances.push_back(record);
   }
   view->crashing_requests = crashes_;
+  view->revision = reader_.revision();
   hooks_.publish(std::move(view));
 }
 
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -28,6 +28,7 @@
   std::shared_ptr<const BackendSet> backends;
   std::vector<InstanceRecord> instances;
   std::set<uint64_t> crashing_requests;  ///< Fingerprints.
+  int64_t revision = 0;  ///< Of the store; known up to it at least.
 };
 
 /// \brief The shared state as this instance knows it, and its own record.
@@ -40,6 +41,9 @@
   /// Reports of crashing requests expire with their lease.
   static constexpr absl::Duration kCrashReportLife = absl::Minutes(10);
 
+  /// Other instances may be ahead by as much: changes are gathered. Beyond it
+  /// a pending watch has lost its answer.
+  static constexpr absl::Duration kBehind = absl::Milliseconds(1200);
   /// Of instances that others read from: few calls serve many.
   static constexpr StateReader::Pace kReaderPace{StateReader::kWatch,
                                                  absl::Milliseconds(400)};
@@ -67,6 +71,8 @@
   void OnStoreAnswer(const control::StoreAnswer& answer, absl::Time now);
   /// \brief Tells the other instances of a request that crashes servers.
   void ReportCrash(uint64_t fingerprint, absl::Time now);
+  /// \brief Another instance knows the state up to this revision.
+  void OnPeerRevision(int64_t revision, absl::Time now);
   /// \brief Another instance reads from this one; answered by
   /// Hooks::answer_peer, now or later.
   void OnPeerCall(PeerCallId id,
@@ -111,6 +117,7 @@
   /// Of the complete read that is under way.
   std::set<std::string> read_servers_;
   std::set<std::string> read_zones_;
+  absl::Time behind_since_ = absl::InfiniteFuture();
   bool was_read_ = false;
   bool is_leaving_ = false;
   bool is_changed_ = false;
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -36,7 +36,7 @@
                                   is_ready,
                                   is_leaving,
                                   is_active,
-                                  config_version,
+                                  state_revision,
                                   internal::Flatten(loads),
                                   internal::Flatten(demand)};
   return nlohmann::json::to_msgpack(message);
@@ -56,7 +56,7 @@
     heartbeat.is_ready = message[3].get<bool>();
     heartbeat.is_leaving = message[4].get<bool>();
     heartbeat.is_active = message[5].get<bool>();
-    heartbeat.config_version = message[6].get<int64_t>();
+    heartbeat.state_revision = message[6].get<int64_t>();
     heartbeat.loads = internal::Unflatten(message[7]);
     heartbeat.demand = internal::Unflatten(message[8]);
     return heartbeat;
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -17,10 +17,10 @@
   std::string instance;
   int64_t incarnation = 0;
   uint64_t sequence = 0;
-  bool is_ready = false;    ///< Takes callers.
-  bool is_leaving = false;  ///< Shuts down.
-  bool is_active = false;   ///< Has had requests lately.
-  int64_t config_version = 0;
+  bool is_ready = false;       ///< Takes callers.
+  bool is_leaving = false;     ///< Shuts down.
+  bool is_active = false;      ///< Has had requests lately.
+  int64_t state_revision = 0;  ///< Of the store; known up to it at least.
   /// Requests in flight by Balancer::ServerHash(), at most kMaxLoads.
   std::vector<std::pair<uint32_t, int>> loads;
 
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -1,5 +1,6 @@
 #include "gateway/src/peer_table.h"
 
+#include <algorithm>
 #include <set>
 
 namespace baobabwall::gateway {
@@ -98,6 +99,16 @@
   return demand;
 }
 
+int64_t PeerTable::NewestRevision(absl::Time now) const {
+  int64_t newest = 0;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard <= kSilence) {
+      newest = std::max(newest, peer.last.state_revision);
+    }
+  }
+  return newest;
+}
+
 absl::flat_hash_map<uint32_t, int> PeerTable::Loads(absl::Time now) const {
   absl::flat_hash_map<uint32_t, int> loads;
   for (const auto& [name, peer] : peers_) {
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -55,6 +55,9 @@
   std::map<std::string, absl::flat_hash_map<uint32_t, double>> Demand(
       absl::Time now) const;
 
+  /// \returns the newest revision of the store that another instance knows.
+  int64_t NewestRevision(absl::Time now) const;
+
   size_t size() const { return peers_.size(); }
 
  private:
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -242,7 +242,7 @@
   heartbeat.sequence = 12;
   heartbeat.is_ready = true;
   heartbeat.is_active = true;
-  heartbeat.config_version = 4;
+  heartbeat.state_revision = 4;
   heartbeat.loads = {{0xffffffff, 3}, {7, 1}};
   heartbeat.demand = {{9, 4321}};
   const auto read = Heartbeat::Decode(heartbeat.Encode());
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -397,6 +397,45 @@
   }
 }
 
+// Guards against a watch whose answer was lost, on a connection that stays open
+// (soak, seeds 236 and 243): the configuration came up to 25 s late.
+TEST_CASE("an instance that is behind its peers renews its watch") {
+  Control c;
+  StoreAnswer first = Ok(5);
+  first.key_values = {{"config", "7", 5, false}};
+  c.AnswerReader(first, kStart);
+  const auto watches = [&] {
+    return std::count_if(c.calls.begin(), c.calls.end(), [](const auto& call) {
+      return std::holds_alternative<control::StoreWatch>(call.request);
+    });
+  };
+  REQUIRE(watches() == 1);
+  const control::StoreCallId lost = c.calls.back().id;
+  c.control.OnPeerRevision(5, kStart + absl::Seconds(9));
+  c.control.OnPeerRevision(8, kStart + absl::Seconds(10));
+  c.control.OnPeerRevision(8, kStart + absl::Seconds(11));
+  CHECK(watches() == 1);
+  c.control.OnPeerRevision(8, kStart + absl::Seconds(11.3));
+  CHECK(watches() == 2);
+  StoreAnswer late = Ok(6);
+  late.id = lost;
+  late.key_values = {{"config", "8", 6, false}};
+  c.control.OnStoreAnswer(late, kStart + absl::Seconds(11.4));
+  CHECK(c.view->config->version() == 7);
+  StoreAnswer news = Ok(8);
+  news.id = c.calls.back().id;
+  news.key_values = {{"config", "9", 8, false}};
+  c.control.OnStoreAnswer(news, kStart + absl::Seconds(11.5));
+  CHECK(c.view->config->version() == 9);
+  // A short lag each time is none.
+  c.control.OnPeerRevision(9, kStart + absl::Seconds(13));
+  c.AnswerReader(Ok(9), kStart + absl::Seconds(13.5));
+  c.control.OnTick(kStart + absl::Seconds(15));
+  const auto before = watches();
+  c.control.OnPeerRevision(10, kStart + absl::Seconds(16));
+  CHECK(watches() == before);
+}
+
 // Guards against followers without answers, and against a reader that goes on
 // serving what it can't renew.
 TEST_CASE("an instance serves others while it reads the store itself") {
