Leave large changes to the store; leave a reader that is behind

Change: answers above 32 KB are refused, and the follower reads them from the store; an instance that is behind its peers leaves the instance it reads from. Tests: state_relay_test 'large changes are left to the store', shared_state_test 'it leaves one that stays behind the others'; both failed before.

--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -116,6 +116,9 @@
   hooks_.log(absl::StrCat("store: watch renewed revision=", reader_.revision(),
                           " of_peers=", revision));
   behind_since_ = absl::InfiniteFuture();
+  if (!source_.is_store()) {
+    sources_.OnFailed(source_, now);
+  }
   reader_.GiveUp(now);
   OnTick(now);
 }
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -49,7 +49,7 @@
                                                  absl::Milliseconds(400)};
   /// Of reads at another instance. A watch waits so long that a frozen
   /// instance is noticed well within the bounds for a configuration.
-  static constexpr StateReader::Pace kPeerPace{absl::Seconds(1),
+  static constexpr StateReader::Pace kPeerPace{absl::Milliseconds(500),
                                                absl::Milliseconds(100)};
 
   struct Hooks {
--- a/packages/gateway/src/state_relay.cc
+++ b/packages/gateway/src/state_relay.cc
@@ -4,6 +4,27 @@
 #include <utility>
 
 namespace baobabwall::gateway {
+namespace internal {
+
+/// Most bytes of an answer: a reader sends it to tens of followers at once, and
+/// its link may carry 10 Mbit/s. What is larger is read from the store.
+constexpr size_t kMaxAnswerBytes = 32 * 1024;
+
+bool IsLarge(const control::StoreAnswer& answer) {
+  size_t bytes = 0;
+  for (const control::StoreKeyValue& item : answer.key_values) {
+    bytes += item.key.size() + item.value.size();
+  }
+  return bytes > kMaxAnswerBytes;
+}
+
+control::StoreAnswer NotHere() {
+  control::StoreAnswer answer;
+  answer.status = control::StoreStatus::kNotFound;
+  return answer;
+}
+
+}  // namespace internal
 
 StateRelay::StateRelay(const StateMirror* mirror, Answer answer)
     : mirror_(mirror), answer_(std::move(answer)) {}
@@ -24,14 +45,13 @@
     return;
   }
   if (std::holds_alternative<control::StoreRange>(request)) {
-    answer_(id, mirror_->Range());
+    control::StoreAnswer all = mirror_->Range();
+    answer_(id, internal::IsLarge(all) ? internal::NotHere() : std::move(all));
     return;
   }
   const auto* watch = std::get_if<control::StoreWatch>(&request);
   if (watch == nullptr) {
-    control::StoreAnswer unknown;
-    unknown.status = control::StoreStatus::kNotFound;
-    answer_(id, std::move(unknown));
+    answer_(id, internal::NotHere());
     return;
   }
   watches_[id] = {watch->after_revision, now + watch->timeout};
@@ -45,6 +65,9 @@
     std::optional<control::StoreAnswer> answer;
     if (state_ == State::kServing) {
       answer = mirror_->ChangesAfter(watch->second.after_revision);
+      if (answer && internal::IsLarge(*answer)) {
+        answer = internal::NotHere();
+      }
     } else {
       answer = Refusal();
     }
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -184,6 +184,15 @@
   return record;
 }
 
+/// The only one of its region.
+InstanceRecord Third() {
+  InstanceRecord record = Second();
+  record.name = "three";
+  record.region = "b";
+  record.callers.address = "10.0.0.3";
+  return record;
+}
+
 /// A control side whose store answers are written by the test.
 class Control {
  public:
@@ -218,8 +227,10 @@
     if (item.key == "crash") {
       return CrashReported{0xabc, item.is_deleted};
     }
-    if (item.key == Second().Key()) {
-      return InstanceWritten{Second()};
+    for (const InstanceRecord& record : {Second(), Third()}) {
+      if (item.key == record.Key()) {
+        return InstanceWritten{record};
+      }
     }
     if (item.is_deleted) {
       return BackendRemoved{item.key};
@@ -363,7 +374,8 @@
   Control c;
   StoreAnswer first = Ok(5);
   first.key_values = {{"config", "7", 5, false},
-                      {Second().Key(), "", 5, false}};
+                      {Second().Key(), "", 5, false},
+                      {Third().Key(), "", 5, false}};
   c.AnswerReader(first, kStart);
   c.control.OnTick(kStart);
   absl::Time now = kStart;
@@ -385,6 +397,15 @@
     c.control.OnPeerCall(1, control::StoreRange{}, now);
     CHECK(c.peer_answers[1].status == StoreStatus::kNotFound);
   }
+  SECTION("it leaves one that stays behind the others") {
+    now += absl::Milliseconds(200);
+    c.control.OnTick(now);
+    REQUIRE(c.peer_calls.size() == 2);
+    c.control.OnPeerRevision(20, now);
+    c.control.OnPeerRevision(20, now + GatewayControl::kBehind);
+    REQUIRE(c.peer_calls.size() == 3);
+    CHECK(c.peer_calls[2].first == Endpoint{"10.0.0.3", 90});
+  }
   SECTION("what is older than its own knowledge is not taken over") {
     now += absl::Milliseconds(200);
     c.control.OnTick(now);
@@ -428,6 +449,7 @@
   c.control.OnStoreAnswer(news, kStart + absl::Seconds(11.5));
   CHECK(c.view->config->version() == 9);
   // A short lag each time is none.
+  c.calls.clear();
   c.control.OnPeerRevision(9, kStart + absl::Seconds(13));
   c.AnswerReader(Ok(9), kStart + absl::Seconds(13.5));
   c.control.OnTick(kStart + absl::Seconds(15));
--- a/test/state_relay_test.cc
+++ b/test/state_relay_test.cc
@@ -131,6 +131,29 @@
   CHECK(r.answers[2].status == StoreStatus::kRefused);
 }
 
+// Guards against followers that wait for a large configuration behind each
+// other, on the link of a small reader (hunt 41296322, big_config).
+TEST_CASE("large changes are left to the store") {
+  Relay r;
+  r.mirror.OnCompleteRead({}, 5);
+  r.relay.OnTick(StateRelay::State::kServing, kStart);
+  r.Watch(1, 5, kStart);
+  r.mirror.OnChange({"op/config", std::string(300'000, 'x'), 6, false});
+  r.mirror.OnRevision(6);
+  r.relay.OnTick(StateRelay::State::kServing, kStart);
+  CHECK(r.answers[1].status == StoreStatus::kNotFound);
+  CHECK(r.answers[1].key_values.empty());
+  r.relay.OnCall(2, control::StoreRange{}, kStart);
+  CHECK(r.answers[2].status == StoreStatus::kNotFound);
+  // Whoever has it goes on reading here.
+  r.Watch(3, 6, kStart);
+  CHECK(r.answers.count(3) == 0);
+  r.mirror.OnChange({"a", "1", 7, false});
+  r.mirror.OnRevision(7);
+  r.relay.OnTick(StateRelay::State::kServing, kStart);
+  CHECK(r.answers[3].key_values.size() == 1);
+}
+
 InstanceRecord Instance(const std::string& name, const std::string& region) {
   InstanceRecord record;
   record.name = name;
