Find the readers of a region in one function

Cause: reading StateSources again. RankedReaders() needed no member, the rule for avoided sources stood in Choose() and HasUntried(), and the control thread ranked the sources anew at each publication.

Change: ReadersOf() is a free function that returns sources, AvoidedUntil() says once until when a source is avoided, and sources are ranked only when instances changed. Behaviour is the same otherwise.

--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -284,8 +284,10 @@
   if (!reader_.is_read() || (!is_registry_changed && !is_changed_)) {
     return;
   }
+  if (is_changed_) {
+    sources_.SetInstances(instances_);
+  }
   is_changed_ = false;
-  sources_.SetInstances(instances_);
   auto view = std::make_shared<ControlView>();
   view->config = config_;
   view->backends = registry_.Publish();
--- a/packages/gateway/src/state_sources.cc
+++ b/packages/gateway/src/state_sources.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "base/base.h"
@@ -33,14 +34,9 @@
   return {record.name, {record.callers.address, record.peer_port}};
 }
 
-}  // namespace internal
-
-StateSources::StateSources(InstanceRecord self)
-    : self_(std::move(self)), sources_{StateSource{}} {}
-
-std::vector<InstanceRecord> StateSources::RankedReaders(
-    const std::string& region,
-    const std::map<std::string, InstanceRecord>& members) const {
+/// \returns the instances of a region that read the store, best first.
+std::vector<StateSource> ReadersOf(const std::string& region,
+                                   const RecordsByName& members) {
   std::vector<std::string> names;
   for (const auto& [name, record] : members) {
     names.push_back(name);
@@ -48,37 +44,43 @@
   control::SortByReaderRank(region, &names);
   // The best of each zone come first: a zone may fail as a whole.
   std::map<std::string, size_t> in_zone;
-  std::vector<std::pair<size_t, InstanceRecord>> ranked;
+  std::vector<std::pair<size_t, StateSource>> ranked;
   for (const std::string& name : names) {
     const InstanceRecord& record = members.at(name);
-    ranked.emplace_back(in_zone[record.zone]++, record);
+    ranked.emplace_back(in_zone[record.zone]++, SourceOf(record));
   }
   std::stable_sort(
       ranked.begin(), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
-  const size_t count = kLeastReaders + names.size() / kInstancesPerReader;
+  const size_t count = StateSources::kLeastReaders +
+                       names.size() / StateSources::kInstancesPerReader;
   ranked.resize(std::min(ranked.size(), count));
-  std::vector<InstanceRecord> readers;
-  for (auto& [place, record] : ranked) {
-    readers.push_back(std::move(record));
+  std::vector<StateSource> readers;
+  for (auto& [place, reader] : ranked) {
+    readers.push_back(std::move(reader));
   }
   return readers;
 }
 
+}  // namespace internal
+
+StateSources::StateSources(InstanceRecord self)
+    : self_(std::move(self)), sources_{StateSource{}} {}
+
 void StateSources::SetInstances(
     const std::map<std::string, InstanceRecord>& by_key) {
   auto regions = internal::NewestByRegion(by_key);
-  std::map<std::string, InstanceRecord>& own = regions[self_.region];
+  internal::RecordsByName& own = regions[self_.region];
   own[self_.name] = self_;
+  std::vector<StateSource> near = internal::ReadersOf(self_.region, own);
+  const auto self =
+      std::find_if(near.begin(), near.end(), [this](const StateSource& reader) {
+        return reader.instance == self_.name;
+      });
   has_followers_ = own.size() > kDirectInstances;
-  std::vector<StateSource> near;
-  is_reader_ = !has_followers_;
-  for (const InstanceRecord& reader : RankedReaders(self_.region, own)) {
-    if (reader.name == self_.name) {
-      is_reader_ = true;
-      continue;
-    }
-    near.push_back(internal::SourceOf(reader));
+  is_reader_ = !has_followers_ || self != near.end();
+  if (self != near.end()) {
+    near.erase(self);
   }
   if (!near.empty()) {
     // Followers spread over the readers.
@@ -89,45 +91,44 @@
   const auto place = is_reader_ ? sources_.end() : sources_.begin();
   sources_.insert(place, near.begin(), near.end());
   for (const auto& [region, members] : regions) {
-    if (region == self_.region) {
-      continue;
+    if (region != self_.region) {
+      sources_.push_back(internal::ReadersOf(region, members).front());
     }
-    const std::vector<InstanceRecord> readers = RankedReaders(region, members);
-    sources_.push_back(internal::SourceOf(readers.front()));
   }
-  for (auto known = avoided_.begin(); known != avoided_.end();) {
-    const auto is_known = [&](const StateSource& source) {
-      return source.instance == known->first;
-    };
-    const bool stays = std::any_of(sources_.begin(), sources_.end(), is_known);
-    known = stays ? std::next(known) : avoided_.erase(known);
+  ForgetOthers();
+}
+
+void StateSources::ForgetOthers() {
+  std::set<std::string> known;
+  for (const StateSource& source : sources_) {
+    known.insert(source.instance);
+  }
+  for (auto avoided = avoided_.begin(); avoided != avoided_.end();) {
+    const bool stays = known.count(avoided->first) > 0;
+    avoided = stays ? std::next(avoided) : avoided_.erase(avoided);
   }
 }
 
+absl::Time StateSources::AvoidedUntil(const StateSource& source) const {
+  const auto avoided = avoided_.find(source.instance);
+  return avoided == avoided_.end() ? absl::InfinitePast() : avoided->second;
+}
+
 StateSource StateSources::Choose(absl::Time now) const {
-  const StateSource* best = nullptr;
-  absl::Time best_until;
+  const StateSource* best = &sources_.front();
   for (const StateSource& source : sources_) {
-    const auto avoided = avoided_.find(source.instance);
-    const absl::Time until =
-        avoided == avoided_.end() ? absl::InfinitePast() : avoided->second;
-    if (until <= now) {
+    if (AvoidedUntil(source) <= now) {
       return source;
     }
-    if (best == nullptr || until < best_until) {
+    if (AvoidedUntil(source) < AvoidedUntil(*best)) {
       best = &source;
-      best_until = until;
     }
   }
   return *best;
 }
 
 bool StateSources::HasUntried(absl::Time now) const {
-  const auto is_untried = [&](const StateSource& source) {
-    const auto avoided = avoided_.find(source.instance);
-    return avoided == avoided_.end() || avoided->second <= now;
-  };
-  return std::any_of(sources_.begin(), sources_.end(), is_untried);
+  return AvoidedUntil(Choose(now)) <= now;
 }
 
 void StateSources::OnFailed(const StateSource& source, absl::Time now) {
--- a/packages/gateway/src/state_sources.h
+++ b/packages/gateway/src/state_sources.h
@@ -57,9 +57,9 @@
   bool has_followers() const { return has_followers_; }
 
  private:
-  std::vector<InstanceRecord> RankedReaders(
-      const std::string& region,
-      const std::map<std::string, InstanceRecord>& members) const;
+  /// Drops what is known of instances that are no sources any more.
+  void ForgetOthers();
+  absl::Time AvoidedUntil(const StateSource& source) const;
 
   InstanceRecord self_;
   std::vector<StateSource> sources_;  ///< Best first.
