Say once what an endpoint, a status and an idle connection are

Cause: read as a newcomer would. Address and port stood as three types with two parsers (settings::HostPort, gateway::Endpoint, the platform's reader), HTTP statuses as numbers in three files, the look at a connection's input in client and listener, the same answer hook twice in ControlThread.

Change: base::Endpoint with ParseEndpoint(), gateway/src/http_status.h, edge::PeekIncoming(), ControlThread::OnAnswer().

Sanitizers not run on it yet.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -3,6 +3,7 @@
 
 /// \brief Umbrella header of the base package.
 
+#include "base/src/endpoint.h"
 #include "base/src/error.h"
 #include "base/src/finding.h"
 #include "base/src/hash.h"
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -10,6 +10,7 @@
 #include "edge/src/gateway_process.h"
 #include "edge/src/http_listener.h"
 #include "edge/src/http_message.h"
+#include "edge/src/incoming.h"
 #include "edge/src/line_limit.h"
 #include "edge/src/peer_channel.h"
 #include "edge/src/relay_codec.h"
--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include "edge/src/incoming.h"
 #include "edge/src/socket_options.h"
 #include "transport/transport.h"
 
@@ -25,15 +26,6 @@
 struct BackendClient::Idle {
   Idle(asio::io_context* io) : socket(*io) {}
 
-  /// \returns false if the other side has closed it or sent anything.
-  bool IsUsable() {
-    char byte = 0;
-    error_code error;
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-  }
-
   tcp::socket socket;
   gateway::Endpoint endpoint;
   absl::Time since;
@@ -297,7 +289,7 @@
     }
     error_code ignored;  // Without a pending wait there is nothing to cancel.
     idle->socket.cancel(ignored);
-    if (idle->IsUsable()) {
+    if (PeekIncoming(&idle->socket) == Incoming::kNothing) {
       return idle;
     }
   }
--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -24,18 +24,14 @@
       store_link_(&io_,
                   {dialect->store_request, dialect->store_answer},
                   StoreLink::kStoreTimeouts,
-                  [this](const control::StoreAnswer& answer) {
-                    control_.OnStoreAnswer(answer, transport::SteadyNow());
-                  }),
+                  OnAnswer()),
       peer_link_(&io_,
                  {EncodeRelayRequest,
                   [](const control::StoreRequest&, const HttpResponse& answer) {
                     return DecodeRelayAnswer(answer);
                   }},
                  StoreLink::kPeerTimeouts,
-                 [this](const control::StoreAnswer& answer) {
-                   control_.OnStoreAnswer(answer, transport::SteadyNow());
-                 }),
+                 OnAnswer()),
       relay_(&io_,
              {[this](ExchangeId exchange, const HttpRequest& request) {
                 OnPeerRequest(exchange, request);
@@ -64,6 +60,12 @@
   return hooks;
 }
 
+StoreLink::Done ControlThread::OnAnswer() {
+  return [this](const control::StoreAnswer& answer) {
+    control_.OnStoreAnswer(answer, transport::SteadyNow());
+  };
+}
+
 void ControlThread::OnPeerRequest(ExchangeId exchange,
                                   const HttpRequest& request) {
   const auto call = DecodeRelayRequest(request);
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -44,6 +44,8 @@
   gateway::GatewayControl::Hooks ControlHooks(
       const Dialect* dialect,
       std::function<void(std::shared_ptr<const gateway::ControlView>)> publish);
+  /// \returns what passes the answers to calls on.
+  StoreLink::Done OnAnswer();
   void OnPeerRequest(ExchangeId exchange, const HttpRequest& request);
   void Tick();
 
--- a/packages/edge/src/gateway_process.cc
+++ b/packages/edge/src/gateway_process.cc
@@ -44,7 +44,7 @@
   record.incarnation = absl::ToUnixMillis(absl::Now());
   record.zone = settings.zone;
   record.region = settings.zone_regions.at(settings.zone);
-  record.callers = {settings.callers.address, settings.callers.port};
+  record.callers = settings.callers;
   record.peer_port = settings.peers.port;
   record.cpu_share = settings.cpu_share;
   return record;
@@ -155,15 +155,14 @@
        [&] { supervisor->End(); },
        [&](int64_t revision) { control->NotePeerRevision(revision); }});
   ControlThread control_thread(
-      &dialect, {settings.store.address, settings.store.port}, self, seed,
+      &dialect, settings.store, self, seed,
       [&](std::shared_ptr<const gateway::ControlView> view) {
         traffic.Publish(std::move(view));
       });
   control = &control_thread;
   Supervisor signals(file, text, &traffic, &control_thread);
   supervisor = &signals;
-  const gateway::Endpoint peers{settings.peers.address, settings.peers.port};
-  if (!traffic.Open() || !control_thread.Open(peers)) {
+  if (!traffic.Open() || !control_thread.Open(settings.peers)) {
     return kExitPorts;
   }
   LOG(INFO) << "process: started instance=" << self.name
--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "edge/src/incoming.h"
 #include "edge/src/socket_options.h"
 #include "glog/logging.h"
 #include "transport/transport.h"
@@ -207,12 +208,7 @@
     if (is_ending_ || error) {
       return;
     }
-    char byte = 0;
-    error_code peek_error;
-    socket_.non_blocking(true, peek_error);
-    const size_t count = socket_.receive(asio::buffer(&byte, 1),
-                                         tcp::socket::message_peek, peek_error);
-    if (count == 0 && peek_error != asio::error::would_block) {
+    if (PeekIncoming(&socket_) == Incoming::kEnd) {
       Close();
     }
   }
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -12,19 +12,12 @@
 namespace baobabwall::edge {
 namespace internal {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpUnavailable = 503;
-
-gateway::Endpoint ToEndpoint(const settings::HostPort& value) {
-  return {value.address, value.port};
-}
-
 base::Outcome OutcomeOf(int status) {
-  if (status == kHttpUnavailable) {
+  if (status == gateway::kHttpUnavailable) {
     return base::Outcome::kNotRun;
   }
-  const bool is_unsure = status == 0 || status == 502 || status == 504;
+  const bool is_unsure = status == 0 || status == gateway::kHttpBadGateway ||
+                         status == gateway::kHttpGatewayTimeout;
   return is_unsure ? base::Outcome::kUnknown : base::Outcome::kRun;
 }
 
@@ -93,12 +86,10 @@
 }
 
 bool TrafficLoop::Open() {
-  using internal::ToEndpoint;
-  return readiness_.Open(ToEndpoint(settings_.readiness)) &&
-         callers_.Open(ToEndpoint(settings_.callers)) &&
-         lookups_.Open(ToEndpoint(settings_.lookups)) &&
-         metrics_listener_.Open(ToEndpoint(settings_.metrics)) &&
-         channel_.Open(ToEndpoint(settings_.peers));
+  return readiness_.Open(settings_.readiness) &&
+         callers_.Open(settings_.callers) && lookups_.Open(settings_.lookups) &&
+         metrics_listener_.Open(settings_.metrics) &&
+         channel_.Open(settings_.peers);
 }
 
 void TrafficLoop::Start() {
@@ -197,7 +188,7 @@
   gateway::CallerRequest caller = dialect_->read_request(request);
   if (is_refusing_) {
     callers_.Answer(exchange,
-                    dialect_->refusal(internal::kHttpUnavailable,
+                    dialect_->refusal(gateway::kHttpUnavailable,
                                       absl::ZeroDuration(), caller.caller_id));
     return;
   }
@@ -291,10 +282,10 @@
 
 void TrafficLoop::OnReadinessCheck(ExchangeId exchange,
                                    const HttpRequest& request) {
-  int status = internal::kHttpNotFound;
+  int status = gateway::kHttpNotFound;
   if (dialect_->is_readiness_check(
           {request.target().data(), request.target().size()})) {
-    status = IsReady() ? internal::kHttpOk : internal::kHttpUnavailable;
+    status = IsReady() ? gateway::kHttpOk : gateway::kHttpUnavailable;
   }
   HttpResponse answer(http::int_to_status(status), 11);
   answer.prepare_payload();
--- a/packages/gateway/src/backend_server.h
+++ b/packages/gateway/src/backend_server.h
@@ -6,24 +6,13 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <tuple>
 
 #include "absl/time/time.h"
+#include "base/base.h"
 
 namespace baobabwall::gateway {
 
-/// \brief IP number and port.
-struct Endpoint {
-  std::string address;
-  uint16_t port = 0;
-
-  friend bool operator==(const Endpoint& a, const Endpoint& b) {
-    return a.address == b.address && a.port == b.port;
-  }
-  friend bool operator<(const Endpoint& a, const Endpoint& b) {
-    return std::tie(a.address, a.port) < std::tie(b.address, b.port);
-  }
-};
+using Endpoint = base::Endpoint;
 
 /// \brief A backend server as it describes itself.
 struct BackendServer {
--- a/packages/gateway/src/instance_record.h
+++ b/packages/gateway/src/instance_record.h
@@ -16,9 +16,10 @@
   int64_t incarnation = 0;  ///< Start of the process, ms since the epoch.
   std::string zone;
   std::string region;
-  Endpoint callers;        ///< Where callers connect.
-  uint16_t peer_port = 0;  ///< UDP, at the same address.
-  double cpu_share = 1;    ///< Of a core.
+  Endpoint callers;  ///< Where callers connect.
+  /// At the same address: heartbeats by UDP, reads of the state by TCP.
+  uint16_t peer_port = 0;
+  double cpu_share = 1;  ///< Of a core.
 
   /// \returns its key in the store; one for each incarnation, so that the
   /// lease of an earlier one can't remove it.
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -4,16 +4,11 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/src/http_status.h"
 
 namespace baobabwall::gateway {
 namespace internal {
 
-constexpr int kHttpNotFound = 404;
-constexpr int kHttpServerError = 500;
-constexpr int kHttpBadGateway = 502;
-constexpr int kHttpUnavailable = 503;
-constexpr int kHttpGatewayTimeout = 504;
-
 /// Without requests for this long an instance counts as idle.
 constexpr absl::Duration kActiveMemory = absl::Seconds(3);
 
@@ -74,14 +69,13 @@
   request->config = config_;
   requests_.emplace(id, std::move(owned));
   if (config_ == nullptr) {
-    GiveUp(request, internal::kHttpUnavailable, "no-configuration", now,
-           &actions);
+    GiveUp(request, kHttpUnavailable, "no-configuration", now, &actions);
     return actions;
   }
   request->route =
       config_->FindRoute(request->caller.host, request->caller.path);
   if (request->route == nullptr) {
-    GiveUp(request, internal::kHttpNotFound, "no-route", now, &actions);
+    GiveUp(request, kHttpNotFound, "no-route", now, &actions);
     return actions;
   }
   const Route& route = *request->route;
@@ -95,8 +89,7 @@
   request->service = split_.Next(route);
   if (suspects_.QuarantinedUntil(request->caller.fingerprint, now) >
       absl::InfinitePast()) {
-    GiveUp(request, internal::kHttpUnavailable, "crashes-servers", now,
-           &actions);
+    GiveUp(request, kHttpUnavailable, "crashes-servers", now, &actions);
     return actions;
   }
   retries_.OnRequest(request->service, now);
@@ -130,8 +123,7 @@
                      SteeringActions* actions) {
   const Placement placement = Choose(*request, now);
   if (placement.server == nullptr) {
-    GiveUp(request, internal::kHttpUnavailable, placement.refusal, now,
-           actions);
+    GiveUp(request, kHttpUnavailable, placement.refusal, now, actions);
     return;
   }
   Start(request, placement, now, actions);
@@ -200,7 +192,7 @@
       return;
     case AttemptResult::kCompleted:
       server->OnReachable();
-      server->OnOutcome(end.status >= internal::kHttpServerError, now);
+      server->OnOutcome(end.status >= kHttpServerError, now);
       break;
     case AttemptResult::kRefused: {
       server->OnReachable();
@@ -215,7 +207,7 @@
       return;
   }
   if (!request.attempt.was_uncrowded || server->IsCold(now) ||
-      end.status >= internal::kHttpServerError) {
+      end.status >= kHttpServerError) {
     return;
   }
   const absl::Duration work =
@@ -283,8 +275,7 @@
         Start(request, next, now, &actions);
         break;
       }
-      GiveUp(request, internal::kHttpUnavailable, "refused-by-server", now,
-             &actions);
+      GiveUp(request, kHttpUnavailable, "refused-by-server", now, &actions);
       break;
     case AttemptResult::kConnectFailed:
       ++request->unsent;
@@ -292,8 +283,7 @@
         Place(request, now, &actions);
         break;
       }
-      GiveUp(request, internal::kHttpUnavailable, "no-connection", now,
-             &actions);
+      GiveUp(request, kHttpUnavailable, "no-connection", now, &actions);
       break;
     default:
       ++request->sent;
@@ -304,7 +294,7 @@
           break;
         }
       }
-      GiveUp(request, internal::kHttpBadGateway, "answer-lost", now, &actions);
+      GiveUp(request, kHttpBadGateway, "answer-lost", now, &actions);
   }
   return actions;
 }
@@ -315,8 +305,8 @@
                         SteeringActions* actions) {
   ++request->sent;
   request->may_have_run = true;
-  const bool is_failure = end.status >= internal::kHttpServerError &&
-                          end.status != internal::kHttpGatewayTimeout;
+  const bool is_failure =
+      end.status >= kHttpServerError && end.status != kHttpGatewayTimeout;
   if (is_failure && request->route->is_idempotent) {
     if (const Placement next = ChooseRetry(*request, now); next.server) {
       Start(request, next, now, actions);
@@ -357,9 +347,9 @@
   refuse.request = request->caller.id;
   refuse.status = status;
   refuse.reason = std::string(reason);
-  const bool promises_not_run = status == internal::kHttpUnavailable;
+  const bool promises_not_run = status == kHttpUnavailable;
   if (promises_not_run && request->may_have_run) {
-    refuse.status = internal::kHttpBadGateway;
+    refuse.status = kHttpBadGateway;
   } else if (promises_not_run) {
     refuse.retry_after = RetryAfter(*request);
   }
@@ -436,8 +426,7 @@
     return;
   }
   GiveUp(request,
-         request->may_have_run ? internal::kHttpGatewayTimeout
-                               : internal::kHttpUnavailable,
+         request->may_have_run ? kHttpGatewayTimeout : kHttpUnavailable,
          "timeout", now, actions);
 }
 
--- a/packages/settings/src/gateway_settings.cc
+++ b/packages/settings/src/gateway_settings.cc
@@ -1,24 +1,21 @@
 #include "settings/src/gateway_settings.h"
 
+#include <utility>
 #include <vector>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "settings/src/setting_rules.h"
 
 namespace baobabwall::settings {
 namespace internal {
 
-Setter<GatewaySettings> Endpoint(HostPort GatewaySettings::*member) {
+Setter<GatewaySettings> Endpoint(base::Endpoint GatewaySettings::*member) {
   return [member](GatewaySettings* settings, const std::string& value) {
-    const size_t colon = value.rfind(':');
-    int port = 0;
-    if (colon == std::string::npos || !IsIpNumber(value.substr(0, colon)) ||
-        !absl::SimpleAtoi(value.substr(colon + 1), &port) || port < 1 ||
-        port > 65535) {
+    auto endpoint = base::ParseEndpoint(value);
+    if (!endpoint || !IsIpNumber(endpoint->address)) {
       return std::string("an IP number and a port such as 127.0.0.1:8080");
     }
-    settings->*member = {value.substr(0, colon), static_cast<uint16_t>(port)};
+    settings->*member = *std::move(endpoint);
     return std::string();
   };
 }
--- a/packages/settings/src/gateway_settings.h
+++ b/packages/settings/src/gateway_settings.h
@@ -12,23 +12,17 @@
 
 namespace baobabwall::settings {
 
-/// \brief IP number and port of a setting such as 10.0.0.1:8080.
-struct HostPort {
-  std::string address;
-  uint16_t port = 0;
-};
-
 /// \brief Settings of an instance that runs on the operators' platform.
 struct GatewaySettings {
   std::string instance_name;
   std::string zone;
-  double cpu_share = 1;  ///< Of a core.
-  HostPort callers;      ///< Where callers send requests.
-  HostPort readiness;    ///< Where the platform asks whether it is ready.
-  HostPort lookups;      ///< Where callers ask which instances to use.
-  HostPort peers;        ///< UDP, for the other instances.
-  HostPort metrics;
-  HostPort store;
+  double cpu_share = 1;      ///< Of a core.
+  base::Endpoint callers;    ///< Where callers send requests.
+  base::Endpoint readiness;  ///< Where the platform asks whether it is ready.
+  base::Endpoint lookups;    ///< Where callers ask which instances to use.
+  base::Endpoint peers;      ///< For the other instances, UDP and TCP.
+  base::Endpoint metrics;
+  base::Endpoint store;
   std::map<std::string, std::string, std::less<>> zone_regions;
 
   double retry_ratio = 0.2;  ///< Retries per request, over the whole fleet.
