Log what changes the beliefs of a gateway, within bounds

Cause: the logs did not tell why a request was not tried again, how old the load was that decided it, which backend servers and instances came and went, or how the shares of regions moved. Only request lines were bounded.

Change: each event has its bound of lines a second in LogWriter, and the next line tells what was left out. Attempts are typed (AttemptRecord) and formatted by edge::RequestLog: age of the load, result by name, why there was no retry; the line tells the revision of the state. New events: registry: server added, draining, ready, removed, kept; backend: paused, back; peer: in use, out of use; plan: shares; route: crashing request. New metrics: refusals by reason, store calls by kind, age of the state, instances, own share, lines left out.

--- a/packages/base/base.h
+++ b/packages/base/base.h
@@ -8,6 +8,7 @@
 #include "base/src/finding.h"
 #include "base/src/hash.h"
 #include "base/src/ini_document.h"
+#include "base/src/log_line.h"
 #include "base/src/outcome.h"
 #include "base/src/random.h"
 #include "base/src/sliding_window.h"
--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -15,12 +15,13 @@
     gateway::Endpoint store,
     gateway::InstanceRecord self,
     uint64_t seed,
+    transport::Metrics* metrics,
     std::function<void(std::shared_ptr<const gateway::ControlView>)> publish)
     : io_(1),
       store_(std::move(store)),
       control_(std::move(self),
                seed,
-               ControlHooks(dialect, std::move(publish))),
+               ControlHooks(dialect, metrics, std::move(publish))),
       store_link_(&io_,
                   {dialect->store_request, dialect->store_answer},
                   StoreLink::kStoreTimeouts,
@@ -37,10 +38,13 @@
                 OnPeerRequest(exchange, request);
               },
               [this](ExchangeId exchange) { control_.OnPeerGone(exchange); }}),
-      timer_(io_) {}
+      timer_(io_) {
+  AddMetrics(metrics);
+}
 
 gateway::GatewayControl::Hooks ControlThread::ControlHooks(
     const Dialect* dialect,
+    transport::Metrics* metrics,
     std::function<void(std::shared_ptr<const gateway::ControlView>)> publish) {
   gateway::GatewayControl::Hooks hooks;
   hooks.decode = dialect->state_change;
@@ -57,9 +61,26 @@
                              const control::StoreAnswer& answer) {
     relay_.Answer(id, EncodeRelayAnswer(answer));
   };
+  hooks.call_ended = [metrics](absl::string_view kind,
+                               control::StoreStatus status) {
+    metrics->StoreCallEnded(kind, status);
+  };
   return hooks;
 }
 
+void ControlThread::AddMetrics(transport::Metrics* metrics) {
+  metrics->AddReader(
+      "baobabwall_state_age_seconds",
+      "Time since the last answer to a read of the shared state", {}, false,
+      [this] {
+        const int64_t now = absl::ToUnixNanos(transport::SteadyNow());
+        return absl::ToDoubleSeconds(absl::Nanoseconds(now - last_read_ns_));
+      });
+  metrics->AddReader("baobabwall_store_lost",
+                     "1 while neither the store nor an instance tells it", {},
+                     false, [this] { return is_store_lost_ ? 1.0 : 0.0; });
+}
+
 StoreLink::Done ControlThread::OnAnswer() {
   return [this](const control::StoreAnswer& answer) {
     control_.OnStoreAnswer(answer, transport::SteadyNow());
@@ -113,6 +134,10 @@
 void ControlThread::Tick() {
   const absl::Time now = transport::SteadyNow();
   control_.OnTick(now);
+  if (control_.last_read() != absl::InfinitePast()) {
+    last_read_ns_ = absl::ToUnixNanos(control_.last_read());
+  }
+  is_store_lost_ = control_.is_store_lost();
   if (now - last_connection_tick_ >= kConnectionTick) {
     last_connection_tick_ = now;
     relay_.OnTick(now);
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_SRC_CONTROL_THREAD_H_
 #define EDGE_SRC_CONTROL_THREAD_H_
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <thread>
@@ -9,6 +10,7 @@
 #include "edge/src/http_listener.h"
 #include "edge/src/store_link.h"
 #include "gateway/gateway.h"
+#include "transport/transport.h"
 
 namespace baobabwall::edge {
 
@@ -19,12 +21,14 @@
   static constexpr absl::Duration kTick = absl::Milliseconds(50);
   static constexpr absl::Duration kConnectionTick = absl::Milliseconds(500);
 
+  /// \param metrics outlives it.
   /// \param publish receives each new view; called on the control thread.
   ControlThread(
       const Dialect* dialect,
       gateway::Endpoint store,
       gateway::InstanceRecord self,
       uint64_t seed,
+      transport::Metrics* metrics,
       std::function<void(std::shared_ptr<const gateway::ControlView>)> publish);
   ~ControlThread();
 
@@ -43,11 +47,13 @@
  private:
   gateway::GatewayControl::Hooks ControlHooks(
       const Dialect* dialect,
+      transport::Metrics* metrics,
       std::function<void(std::shared_ptr<const gateway::ControlView>)> publish);
   /// \returns what passes the answers to calls on.
   StoreLink::Done OnAnswer();
   void OnPeerRequest(ExchangeId exchange, const HttpRequest& request);
   void Tick();
+  void AddMetrics(transport::Metrics* metrics);
 
   asio::io_context io_;
   gateway::Endpoint store_;
@@ -55,6 +61,10 @@
   StoreLink store_link_;
   StoreLink peer_link_;
   HttpListener relay_;
+  /// Read by the metrics, on another thread: time of the last whole answer, in
+  /// nanoseconds of the steady clock; 0: none yet.
+  std::atomic<int64_t> last_read_ns_{0};
+  std::atomic<bool> is_store_lost_{false};
   absl::Time last_connection_tick_ = absl::InfinitePast();
   asio::steady_timer timer_;
   std::thread thread_;
--- a/packages/edge/src/gateway_process.cc
+++ b/packages/edge/src/gateway_process.cc
@@ -1,6 +1,7 @@
 #include "edge/src/gateway_process.h"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -140,13 +141,17 @@
 int Serve(const std::string& file,
           const std::string& text,
           const settings::GatewaySettings& settings,
-          const Dialect& dialect) {
+          const Dialect& dialect,
+          const LogWriter& log) {
   signal(SIGPIPE, SIG_IGN);
   const gateway::InstanceRecord self = RecordOf(settings);
   const uint64_t seed = settings.seed != 0
                             ? static_cast<uint64_t>(settings.seed)
                             : base::StableHash(self.name, self.incarnation);
   transport::Metrics metrics;
+  metrics.AddReader(
+      kLeftOutMetric, kLeftOutHelp, {{"by", "writer"}}, true,
+      [&log] { return static_cast<double>(log.left_out_total()); });
   Supervisor* supervisor = nullptr;
   ControlThread* control = nullptr;
   TrafficLoop traffic(
@@ -155,7 +160,7 @@
        [&] { supervisor->End(); },
        [&](int64_t revision) { control->NotePeerRevision(revision); }});
   ControlThread control_thread(
-      &dialect, settings.store, self, seed,
+      &dialect, settings.store, self, seed, &metrics,
       [&](std::shared_ptr<const gateway::ControlView> view) {
         traffic.Publish(std::move(view));
       });
@@ -197,9 +202,10 @@
   if (only_check) {
     return 0;
   }
-  LogWriter log;
+  LogWriter log(STDOUT_FILENO, settings->log_lines_per_s);
   log.Install();
-  const int result = internal::Serve(settings_file, *text, *settings, dialect);
+  const int result =
+      internal::Serve(settings_file, *text, *settings, dialect, log);
   log.Uninstall();
   return result;
 }
--- a/packages/edge/src/line_limit.h
+++ b/packages/edge/src/line_limit.h
@@ -21,6 +21,7 @@
     }
     if (lines_ >= lines_per_s_) {
       ++left_out_;
+      ++left_out_total_;
       return false;
     }
     ++lines_;
@@ -30,10 +31,13 @@
   /// \returns lines left out since the last call.
   int64_t TakeLeftOut() { return std::exchange(left_out_, 0); }
 
+  int64_t left_out_total() const { return left_out_total_; }
+
  private:
   int64_t lines_per_s_;
   int64_t lines_ = 0;
   int64_t left_out_ = 0;
+  int64_t left_out_total_ = 0;
   absl::Time second_ = absl::InfinitePast();
 };
 
--- a/packages/edge/src/peer_channel.cc
+++ b/packages/edge/src/peer_channel.cc
@@ -43,8 +43,7 @@
           if (heartbeat) {
             on_heartbeat_(*heartbeat);
           } else {
-            LOG_EVERY_N(WARNING, 100)
-                << "peer: unreadable datagram bytes=" << size;
+            LOG(WARNING) << "peer: unreadable datagram bytes=" << size;
           }
         }
         Receive();
--- a/packages/edge/src/store_link.cc
+++ b/packages/edge/src/store_link.cc
@@ -108,8 +108,8 @@
     if (is_over_) {
       return;
     }
-    LOG_EVERY_N(WARNING, 20) << "store: call failed to=" << to_.address << ":"
-                             << to_.port << " error=" << error;
+    LOG(WARNING) << "store: call failed to=" << to_.address << ":" << to_.port
+                 << " error=" << error;
     error_code ignored;  // The connection is given up either way.
     socket_.close(ignored);
     // Other kept connections are likely to be as dead.
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -5,8 +5,8 @@
 #include <set>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "edge/src/log_writer.h"
 #include "glog/logging.h"
 
 namespace baobabwall::edge {
@@ -36,15 +36,25 @@
       hooks_(std::move(hooks)),
       io_(1),
       zones_(settings.zone_regions, settings.zone),
-      steering_(&zones_,
-                self_.name,
-                seed,
-                {[this](const gateway::RequestRecord& record) {
-                   OnRequestEnd(record);
-                 },
-                 hooks_.report_crash}),
+      steering_(
+          &zones_,
+          self_.name,
+          seed,
+          {[this](const gateway::RequestRecord& record) {
+             OnRequestEnd(record);
+           },
+           hooks_.report_crash,
+           [](const gateway::BackendServer& server, absl::Duration pause) {
+             LOG(INFO) << "backend: paused server=" << server.id
+                       << " service=" << server.service
+                       << " ms=" << absl::ToInt64Milliseconds(pause);
+           },
+           [](const gateway::BackendServer& server) {
+             LOG(INFO) << "backend: back server=" << server.id
+                       << " service=" << server.service;
+           }}),
       peers_(self_.name, self_.region),
-      line_limit_(settings.log_lines_per_s),
+      request_log_(settings.log_lines_per_s),
       callers_(&io_,
                {[this](ExchangeId exchange, HttpRequest request) {
                   OnRequest(exchange, std::move(request));
@@ -252,12 +262,14 @@
 }
 
 void TrafficLoop::OnRequestEnd(const gateway::RequestRecord& record) {
-  const absl::Time now = transport::SteadyNow();
   metrics_->RequestEnded(record.service, record.route,
                          internal::OutcomeOf(record.status), record.took);
   if (record.attempts.size() > 1) {
     metrics_->Retried(record.service);
   }
+  if (record.reason != gateway::kAnswered) {
+    metrics_->Refused(record.service, record.reason);
+  }
   if (record.status == 0) {
     // The caller is gone: there is nothing to deliver.
     const auto pending = pending_.find(record.request->id);
@@ -266,18 +278,8 @@
       pending_.erase(pending);
     }
   }
-  if (!line_limit_.Admit(now)) {
-    return;
-  }
-  LOG(INFO) << "route: request=" << record.request->caller_id
-            << " route=" << record.route << " service=" << record.service
-            << " object=" << absl::StrCat(absl::Hex(record.request->object))
-            << " config=" << record.config_version
-            << " status=" << record.status << " reason=" << record.reason
-            << " ms=" << absl::ToInt64Milliseconds(record.took)
-            << " retry_after_ms="
-            << absl::ToInt64Milliseconds(record.retry_after)
-            << " attempts=" << absl::StrJoin(record.attempts, ",");
+  request_log_.Write(record, view_ == nullptr ? 0 : view_->revision,
+                     transport::SteadyNow());
 }
 
 void TrafficLoop::OnReadinessCheck(ExchangeId exchange,
@@ -384,14 +386,25 @@
     demand[self_.region][gateway::Balancer::ServerHash(service)] += slots;
   }
   steering_.balancer().UpdatePlans(demand, now);
+  LogChanges(now);
   backends_.OnTick(now);
   for (HttpListener* listener :
        {&callers_, &readiness_, &lookups_, &metrics_listener_}) {
     listener->OnTick(now);
   }
-  const int64_t left_out = line_limit_.TakeLeftOut();
-  if (left_out > 0) {
-    LOG(INFO) << "route: lines left out count=" << left_out;
+}
+
+void TrafficLoop::LogChanges(absl::Time now) {
+  for (const gateway::PeerTable::Change& change : peers_.TakeChanges(now)) {
+    LOG(INFO) << (change.is_live ? "peer: in use" : "peer: out of use")
+              << " instance=" << change.instance
+              << " silence_ms=" << absl::ToInt64Milliseconds(change.silence)
+              << " leaving=" << change.is_leaving;
+  }
+  for (const auto& [service, shares] :
+       steering_.balancer().TakeChangedShares()) {
+    LOG(INFO) << "plan: shares service=" << service << " regions="
+              << absl::StrJoin(shares, ",", absl::PairFormatter(":"));
   }
 }
 
@@ -436,6 +449,15 @@
   add("baobabwall_backend_connections_opened_total",
       "Connections opened to backend servers", true,
       [this] { return static_cast<double>(backends_.opened_count()); });
+  add("baobabwall_instances", "Other instances in use", false, [this] {
+    return static_cast<double>(peers_.Live(transport::SteadyNow()).size());
+  });
+  add("baobabwall_least_own_region_share",
+      "Smallest part of a service's requests that is to run in the own region",
+      false, [this] { return steering_.balancer().LeastOwnShare(); });
+  metrics_->AddReader(
+      kLeftOutMetric, kLeftOutHelp, {{"by", "requests"}}, true,
+      [this] { return static_cast<double>(request_log_.left_out_total()); });
   add("baobabwall_config_version", "Configuration in force", false, [this] {
     return steering_.config() == nullptr
                ? 0.0
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -14,8 +14,8 @@
 #include "edge/src/backend_client.h"
 #include "edge/src/dialect.h"
 #include "edge/src/http_listener.h"
-#include "edge/src/line_limit.h"
 #include "edge/src/peer_channel.h"
+#include "edge/src/request_log.h"
 #include "gateway/gateway.h"
 #include "settings/settings.h"
 #include "transport/transport.h"
@@ -98,6 +98,7 @@
   void TickPeers(absl::Time now);
   void TickSlow(absl::Time now);
   void TickLeaving(absl::Time now);
+  void LogChanges(absl::Time now);
   void AddMetrics();
   std::vector<gateway::InstanceRecord> LiveInstances(absl::Time now) const;
 
@@ -115,7 +116,7 @@
   gateway::ZoneMap zones_;
   gateway::Steering steering_;
   gateway::PeerTable peers_;
-  LineLimit line_limit_;
+  RequestLog request_log_;
   HttpListener callers_;
   HttpListener readiness_;
   HttpListener lookups_;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/src/peer_table.h"
 #include "gateway/src/region_plan.h"
 #include "gateway/src/registration.h"
+#include "gateway/src/request_record.h"
 #include "gateway/src/retry_allowance.h"
 #include "gateway/src/routing_config.h"
 #include "gateway/src/server_load.h"
--- a/packages/gateway/src/backend_registry.cc
+++ b/packages/gateway/src/backend_registry.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace baobabwall::gateway {
 
 void BackendRegistry::OnStoreReturn(absl::Time now) {
@@ -23,6 +25,22 @@
   return now - store_returned_ < kOutageGrace;
 }
 
+void BackendRegistry::LogEntry(const Entry* before,
+                               const BackendServer& server) const {
+  const bool is_new =
+      before == nullptr || before->server.incarnation != server.incarnation;
+  if (is_new) {
+    log_(absl::StrCat("registry: server added server=", server.id,
+                      " service=", server.service, " zone=", server.zone,
+                      " slots=", server.slots,
+                      " draining=", server.is_draining));
+  } else if (before->server.is_draining != server.is_draining) {
+    log_(absl::StrCat(server.is_draining ? "registry: server draining"
+                                         : "registry: server ready",
+                      " server=", server.id, " service=", server.service));
+  }
+}
+
 void BackendRegistry::OnEntry(BackendServer server,
                               bool is_start,
                               absl::Time now) {
@@ -39,6 +57,9 @@
   } else if (!is_start && !server.is_draining) {
     server.cold_until = std::max(server.cold_until, now + WarmupOf(server));
   }
+  if (!is_start) {
+    LogEntry(is_known ? &known->second : nullptr, server);
+  }
   std::string id = server.id;
   entries_[std::move(id)] = Entry{std::move(server)};
   is_changed_ = true;
@@ -50,9 +71,14 @@
     return;
   }
   if (IsNearOutage(now) && !known->second.server.is_draining) {
+    log_(absl::StrCat("registry: server kept server=", id,
+                      " store_returned_ms=",
+                      absl::ToInt64Milliseconds(now - store_returned_)));
     known->second.removed_at = std::min(known->second.removed_at, now);
     return;
   }
+  log_(absl::StrCat("registry: server removed server=", id,
+                    " service=", known->second.server.service));
   entries_.erase(known);
   is_changed_ = true;
 }
@@ -115,6 +141,8 @@
       ++entry;
       continue;
     }
+    log_(absl::StrCat("registry: server removed server=", entry->first,
+                      " service=", entry->second.server.service));
     entry = entries_.erase(entry);
     is_changed_ = true;
   }
--- a/packages/gateway/src/backend_registry.h
+++ b/packages/gateway/src/backend_registry.h
@@ -1,10 +1,12 @@
 #ifndef GATEWAY_SRC_BACKEND_REGISTRY_H_
 #define GATEWAY_SRC_BACKEND_REGISTRY_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/string_view.h"
@@ -25,6 +27,10 @@
   /// Servers that live register again within about 2 s of the store's return.
   static constexpr absl::Duration kOutageGrace = absl::Milliseconds(2200);
 
+  /// \param log receives one line for each change of a server.
+  explicit BackendRegistry(std::function<void(const std::string&)> log)
+      : log_(std::move(log)) {}
+
   /// \brief The store answers again after it did not.
   void OnStoreReturn(absl::Time now);
 
@@ -63,6 +69,9 @@
 
   absl::Duration WarmupOf(const BackendServer& server) const;
   bool IsNearOutage(absl::Time now) const;
+  void LogEntry(const Entry* before, const BackendServer& server) const;
+
+  std::function<void(const std::string&)> log_;
 
   std::shared_ptr<const RoutingConfig> config_;
   std::map<std::string, Entry, std::less<>> entries_;
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -277,6 +277,25 @@
   }
 }
 
+std::map<std::string, std::map<std::string, double, std::less<>>>
+Balancer::TakeChangedShares() {
+  std::map<std::string, std::map<std::string, double, std::less<>>> changed;
+  for (auto& [service, plan] : plans_) {
+    if (plan.TakeNotable()) {
+      changed.emplace(service, plan.shares());
+    }
+  }
+  return changed;
+}
+
+double Balancer::LeastOwnShare() const {
+  double least = 1;
+  for (const auto& [service, plan] : plans_) {
+    least = std::min(least, plan.Share(zones_->own_region()));
+  }
+  return least;
+}
+
 std::vector<std::pair<uint32_t, int>> Balancer::OwnLoads() const {
   std::vector<std::pair<uint32_t, int>> loads;
   for (const auto& [id, server] : servers_) {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -118,6 +118,14 @@
     return ServerLoad::HashOf(id);
   }
 
+  /// \returns shares by service, for services where one has changed notably
+  /// since the last call.
+  std::map<std::string, std::map<std::string, double, std::less<>>>
+  TakeChangedShares();
+  /// \returns the smallest part of a service's requests that is to run in the
+  /// own region.
+  double LeastOwnShare() const;
+
   size_t server_count() const { return servers_.size(); }
 
  private:
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -36,6 +36,9 @@
                  read_zones_.clear();
                }}),
       registration_(self_, seed + internal::kRegistrationSeed),
+      registry_([this](const std::string& line) {
+        hooks_.log(absl::StrCat(line, " revision=", applied_revision_));
+      }),
       sources_(self_),
       relay_(&mirror_, [this](PeerCallId id, control::StoreAnswer answer) {
         hooks_.answer_peer(id, std::move(answer));
@@ -58,6 +61,19 @@
   }
 }
 
+absl::string_view GatewayControl::CallName(Caller caller) const {
+  switch (caller) {
+    case Caller::kReader:
+      return source_.is_store() ? "read" : "read-from-instance";
+    case Caller::kRegistration:
+      return "register";
+    case Caller::kCrashLease:
+    case Caller::kCrashReport:
+      break;
+  }
+  return "report-crash";
+}
+
 void GatewayControl::OnTick(absl::Time now) {
   now_ = now;
   if (auto call = registration_.NextCall(now)) {
@@ -82,7 +98,7 @@
 void GatewayControl::UseSource(const StateSource& source) {
   if (source.instance != source_.instance) {
     reader_.OnSourceChanged();
-    hooks_.log(absl::StrCat("store: source=",
+    hooks_.log(absl::StrCat("store: read from source=",
                             source.is_store() ? "store" : source.instance));
   }
   source_ = source;
@@ -143,6 +159,7 @@
                         answer.revision < reader_.revision();
   if (is_answered && !is_stale) {
     reader_.OnAnswer(answer, now);
+    last_read_ = now;
     mirror_.OnRevision(reader_.revision());
     behind_since_ = absl::InfiniteFuture();
     return;
@@ -186,6 +203,9 @@
   }
   const Caller caller = call->second;
   calls_.erase(call);
+  if (hooks_.call_ended) {
+    hooks_.call_ended(CallName(caller), answer.status);
+  }
   if (caller == Caller::kReader) {
     OnReaderAnswer(answer, now);
   } else if (caller == Caller::kRegistration) {
@@ -208,6 +228,7 @@
 void GatewayControl::Apply(const control::StoreKeyValue& item,
                            bool is_complete_read) {
   mirror_.OnChange(item);
+  applied_revision_ = item.revision;
   std::optional<StateChange> change = hooks_.decode(item);
   if (!change) {
     return;
@@ -241,6 +262,9 @@
                                 ? crashes_.erase(crash->fingerprint) > 0
                                 : crashes_.insert(crash->fingerprint).second;
     is_changed_ = is_changed_ || is_changed;
+    if (is_changed) {
+      LogCrash(crash->fingerprint, crash->is_ended);
+    }
   }
 }
 
@@ -253,7 +277,8 @@
   registry_.OnConfig(config_);
   is_changed_ = true;
   hooks_.log(absl::StrCat("config: in force version=", config_->version(),
-                          " routes=", config_->route_count()));
+                          " routes=", config_->route_count(),
+                          " revision=", applied_revision_));
 }
 
 void GatewayControl::ApplyInstance(const InstanceWritten& change) {
@@ -305,10 +330,17 @@
     return;
   }
   is_changed_ = true;
+  LogCrash(fingerprint, false);
   crashes_to_report_.push_back(fingerprint);
   Call(Caller::kCrashLease, control::StoreLeaseGrant{kCrashReportLife});
 }
 
+void GatewayControl::LogCrash(uint64_t fingerprint, bool is_ended) {
+  hooks_.log(absl::StrCat(is_ended ? "route: crashing request forgotten"
+                                   : "route: crashing request stopped",
+                          " fingerprint=", absl::Hex(fingerprint)));
+}
+
 void GatewayControl::WriteCrashReports(uint64_t lease) {
   for (const uint64_t fingerprint : crashes_to_report_) {
     control::StoreCompareAndSwap put;
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -63,6 +63,9 @@
     std::function<void(const Endpoint&, control::StoreCall)> call_peer;
     /// Answers OnPeerCall().
     std::function<void(PeerCallId, control::StoreAnswer)> answer_peer;
+    /// A call of call_store or call_peer was answered or given up.
+    std::function<void(absl::string_view kind, control::StoreStatus)>
+        call_ended;
   };
 
   GatewayControl(InstanceRecord self, uint64_t seed, Hooks hooks);
@@ -81,10 +84,15 @@
   void OnPeerGone(PeerCallId id) { relay_.OnCallerGone(id); }
   void Leave(absl::Time now);
 
+  /// \returns when the state was last known to be complete.
+  absl::Time last_read() const { return last_read_; }
+  bool is_store_lost() const { return reader_.is_store_lost(); }
+
  private:
   enum class Caller { kReader, kRegistration, kCrashLease, kCrashReport };
 
   void Call(Caller caller, control::StoreRequest request);
+  absl::string_view CallName(Caller caller) const;
   void ReadState(absl::Time now);
   void UseSource(const StateSource& source);
   void OnReaderAnswer(const control::StoreAnswer& answer, absl::Time now);
@@ -95,6 +103,7 @@
   void ApplyInstance(const InstanceWritten& change);
   void EndCompleteRead(const std::vector<std::string>& keys);
   void PublishIfChanged();
+  void LogCrash(uint64_t fingerprint, bool is_ended);
   void WriteCrashReports(uint64_t lease);
 
   InstanceRecord self_;
@@ -118,6 +127,8 @@
   std::set<std::string> read_servers_;
   std::set<std::string> read_zones_;
   absl::Time behind_since_ = absl::InfiniteFuture();
+  absl::Time last_read_ = absl::InfinitePast();
+  int64_t applied_revision_ = 0;  ///< Of the change applied last.
   bool was_read_ = false;
   bool is_leaving_ = false;
   bool is_changed_ = false;
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace baobabwall::gateway {
 
@@ -21,12 +22,17 @@
     // A record may lapse while the store is away: who is heard stays.
     const bool stays =
         newest.count(peer->first) > 0 || now - peer->second.heard < kSilence;
+    if (!stays && peer->second.was_live) {
+      removed_.push_back(ChangeOf(peer->first, peer->second, false, now));
+    }
     peer = stays ? std::next(peer) : peers_.erase(peer);
   }
   for (const auto& [name, record] : newest) {
     Peer& peer = peers_[name];
     if (peer.record.incarnation < record->incarnation) {
+      const bool was_live = peer.was_live;
       peer = Peer{};
+      peer.was_live = was_live;
       peer.announced = now;
     }
     peer.record = *record;
@@ -58,6 +64,31 @@
          !peer.last.is_leaving;
 }
 
+PeerTable::Change PeerTable::ChangeOf(const std::string& name,
+                                      const Peer& peer,
+                                      bool is_live,
+                                      absl::Time now) {
+  Change change;
+  change.instance = name;
+  change.is_live = is_live;
+  if (peer.heard != absl::InfinitePast()) {
+    change.silence = now - peer.heard;
+  }
+  change.is_leaving = peer.last.is_leaving;
+  return change;
+}
+
+std::vector<PeerTable::Change> PeerTable::TakeChanges(absl::Time now) {
+  std::vector<Change> changes = std::exchange(removed_, {});
+  for (auto& [name, peer] : peers_) {
+    const bool is_live = IsLive(peer, now);
+    if (is_live != std::exchange(peer.was_live, is_live)) {
+      changes.push_back(ChangeOf(name, peer, is_live, now));
+    }
+  }
+  return changes;
+}
+
 std::vector<InstanceRecord> PeerTable::Live(absl::Time now) const {
   std::vector<InstanceRecord> live;
   for (const auto& [name, peer] : peers_) {
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -58,6 +58,17 @@
   /// \returns the newest revision of the store that another instance knows.
   int64_t NewestRevision(absl::Time now) const;
 
+  /// \brief An instance that came into use or fell out of it.
+  struct Change {
+    std::string instance;
+    bool is_live = false;
+    absl::Duration silence;  ///< Since its last heartbeat; zero: none yet.
+    bool is_leaving = false;
+  };
+
+  /// \returns the changes since the last call.
+  std::vector<Change> TakeChanges(absl::Time now);
+
   size_t size() const { return peers_.size(); }
 
  private:
@@ -66,14 +77,20 @@
     absl::Time announced;
     absl::Time heard = absl::InfinitePast();
     absl::Time sent = absl::InfinitePast();
+    bool was_live = false;  ///< When changes were last taken.
     Heartbeat last;
   };
 
   bool IsLive(const Peer& peer, absl::Time now) const;
+  static Change ChangeOf(const std::string& name,
+                         const Peer& peer,
+                         bool is_live,
+                         absl::Time now);
 
   std::string self_;
   std::string own_region_;
   std::map<std::string, Peer> peers_;  ///< By name.
+  std::vector<Change> removed_;        ///< That were live, since the last call.
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/region_plan.cc
+++ b/packages/gateway/src/region_plan.cc
@@ -1,6 +1,7 @@
 #include "gateway/src/region_plan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace baobabwall::gateway {
 namespace internal {
@@ -72,6 +73,19 @@
   shares_ = std::move(next);
 }
 
+bool RegionPlan::TakeNotable() {
+  const bool is_notable =
+      std::any_of(shares_.begin(), shares_.end(), [this](const auto& share) {
+        const auto noted = noted_.find(share.first);
+        const double before = noted == noted_.end() ? 0 : noted->second;
+        return std::abs(share.second - before) >= kNotable;
+      });
+  if (is_notable) {
+    noted_ = shares_;
+  }
+  return is_notable;
+}
+
 double RegionPlan::Share(absl::string_view region) const {
   const auto found = shares_.find(region);
   return found == shares_.end() ? 0 : found->second;
--- a/packages/gateway/src/region_plan.h
+++ b/packages/gateway/src/region_plan.h
@@ -32,6 +32,8 @@
   static constexpr double kPlannedUse = 0.9;
   /// Largest change of a share at one update.
   static constexpr double kStep = 0.025;
+  /// Change of a share that is worth a line of the log.
+  static constexpr double kNotable = 0.1;
 
   explicit RegionPlan(std::string own) : own_(std::move(own)) {}
 
@@ -47,6 +49,13 @@
   /// \returns part of the requests that are to run in a region, 0 to 1.
   double Share(absl::string_view region) const;
 
+  const std::map<std::string, double, std::less<>>& shares() const {
+    return shares_;
+  }
+
+  /// \returns whether a share has changed by kNotable since it last did so.
+  bool TakeNotable();
+
   /// \returns the shares that fit the loads, without regard to present ones.
   static std::map<std::string, double, std::less<>> Target(
       const std::map<std::string, RegionLoad, std::less<>>& loads,
@@ -56,6 +65,7 @@
   std::string own_;
   /// Shares by region; the own one is first in the order of hashes.
   std::map<std::string, double, std::less<>> shares_;
+  std::map<std::string, double, std::less<>> noted_;
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/server_load.cc
+++ b/packages/gateway/src/server_load.cc
@@ -22,6 +22,13 @@
   return own_ + others;
 }
 
+std::optional<absl::Duration> ServerLoad::ReportAge(absl::Time now) const {
+  if (reported_at_ == absl::InfinitePast()) {
+    return std::nullopt;
+  }
+  return now - reported_at_;
+}
+
 double ServerLoad::Slowness(absl::Time now) const {
   return 1 + (slowness_ - 1) * Forgotten(slowness_at_, now);
 }
@@ -51,15 +58,16 @@
   failures_at_ = now;
 }
 
-void ServerLoad::OnUnreachable(absl::Duration cold, absl::Time now) {
+absl::Duration ServerLoad::OnUnreachable(absl::Duration cold, absl::Time now) {
   if (IsPaused(now)) {
-    return;
+    return absl::ZeroDuration();
   }
   const double factor = std::pow(2, std::min(failed_connections_, 8));
   const absl::Duration pause = std::min(kPause * factor, kMaxPause);
   ++failed_connections_;
   paused_until_ = now + pause;
   server_.cold_until = std::max(server_.cold_until, paused_until_ + cold);
+  return pause;
 }
 
 bool ServerLoad::HasColdRoom(int64_t limit, absl::Time now) {
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -58,6 +59,9 @@
   /// \returns requests that are likely at the server, from all instances.
   double Total(absl::Time now) const;
 
+  /// \returns time since the server last reported its load; nullopt: never.
+  std::optional<absl::Duration> ReportAge(absl::Time now) const;
+
   /// \returns time of work relative to other servers; 1 is usual.
   double Slowness(absl::Time now) const;
 
@@ -79,8 +83,10 @@
   void OnOutcome(bool is_failure, absl::Time now);
   /// \brief No connection could be opened, or the server runs no longer.
   /// \param cold the server counts as cold for that long after it is back.
-  void OnUnreachable(absl::Duration cold, absl::Time now);
-  void OnReachable() { failed_connections_ = 0; }
+  /// \returns time without new work from now on; zero if it had been paused.
+  absl::Duration OnUnreachable(absl::Duration cold, absl::Time now);
+  /// \returns whether the last connection before had failed.
+  bool OnReachable() { return std::exchange(failed_connections_, 0) > 0; }
   void OnCold(absl::Time until) { server_.cold_until = until; }
 
   /// \returns false if a cold server has had `limit` requests in the last
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -142,9 +142,12 @@
   attempt.expected = placement.expected;
   attempt.was_uncrowded = placement.load + 1 <= server.slots;
   request->tried.push_back(server.id);
-  request->log.push_back(absl::StrCat(
-      server.id, ":load=", placement.load, "/", server.slots,
-      ":expected_ms=", absl::ToInt64Milliseconds(placement.expected)));
+  AttemptRecord& record = request->records.emplace_back();
+  record.server = server.id;
+  record.load = placement.load;
+  record.slots = server.slots;
+  record.load_age = placement.server->ReportAge(now);
+  record.expected = placement.expected;
   request->next_check =
       request->route->is_idempotent
           ? now +
@@ -179,23 +182,20 @@
   if (end.connect_time) {
     zones_->OnRoundTrip(server->server().zone, *end.connect_time);
   }
-  const ServiceSpec* service = request.config->FindService(request.service);
-  const absl::Duration warmup =
-      service == nullptr ? absl::ZeroDuration() : service->warmup;
   if (end.is_other_server) {
-    server->OnUnreachable(warmup, now);
+    NoteUnreachable(request, now);
     return;
   }
   switch (end.result) {
     case AttemptResult::kConnectFailed:
-      server->OnUnreachable(warmup, now);
+      NoteUnreachable(request, now);
       return;
     case AttemptResult::kCompleted:
-      server->OnReachable();
+      NoteReachable(server);
       server->OnOutcome(end.status >= kHttpServerError, now);
       break;
     case AttemptResult::kRefused: {
-      server->OnReachable();
+      NoteReachable(server);
       // A full server refuses; with free slots a refusal is a fault.
       const bool is_full =
           end.load && end.load->running + end.load->waiting >= end.load->slots;
@@ -215,6 +215,23 @@
   balancer_.OnWork(QueryOf(request), server, work, now);
 }
 
+void Steering::NoteReachable(ServerLoad* server) {
+  if (server->OnReachable() && hooks_.on_server_back) {
+    hooks_.on_server_back(server->server());
+  }
+}
+
+void Steering::NoteUnreachable(const Request& request, absl::Time now) {
+  ServerLoad* server = request.attempt.server.get();
+  const ServiceSpec* service = request.config->FindService(request.service);
+  const absl::Duration warmup =
+      service == nullptr ? absl::ZeroDuration() : service->warmup;
+  const absl::Duration pause = server->OnUnreachable(warmup, now);
+  if (pause > absl::ZeroDuration() && hooks_.on_server_paused) {
+    hooks_.on_server_paused(server->server(), pause);
+  }
+}
+
 void Steering::NoteBroken(const Request& request,
                           const AttemptEnd& end,
                           absl::Time now) {
@@ -257,10 +274,10 @@
   NoteBroken(*request, end, now);
   Learn(*request, end, now);
   request->attempt.id = 0;
-  absl::StrAppend(
-      &request->log.back(), ":result=", static_cast<int>(end.result),
-      ":status=", end.status,
-      ":ms=", absl::ToInt64Milliseconds(now - request->attempt.start));
+  AttemptRecord& record = request->records.back();
+  record.result = end.result;
+  record.status = end.status;
+  record.took = now - request->attempt.start;
   if (request->is_caller_gone) {
     Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
     return actions;
@@ -271,7 +288,7 @@
       break;
     case AttemptResult::kRefused:
       ++request->sent;
-      if (const Placement next = ChooseRetry(*request, now); next.server) {
+      if (const Placement next = ChooseRetry(request, now); next.server) {
         Start(request, next, now, &actions);
         break;
       }
@@ -288,11 +305,12 @@
     default:
       ++request->sent;
       request->may_have_run = true;
-      if (request->route->is_idempotent) {
-        if (const Placement next = ChooseRetry(*request, now); next.server) {
-          Start(request, next, now, &actions);
-          break;
-        }
+      if (!request->route->is_idempotent) {
+        record.no_retry = NoRetry::kMayHaveRun;
+      } else if (const Placement next = ChooseRetry(request, now);
+                 next.server) {
+        Start(request, next, now, &actions);
+        break;
       }
       GiveUp(request, kHttpBadGateway, "answer-lost", now, &actions);
   }
@@ -308,7 +326,7 @@
   const bool is_failure =
       end.status >= kHttpServerError && end.status != kHttpGatewayTimeout;
   if (is_failure && request->route->is_idempotent) {
-    if (const Placement next = ChooseRetry(*request, now); next.server) {
+    if (const Placement next = ChooseRetry(request, now); next.server) {
       Start(request, next, now, actions);
       return;
     }
@@ -316,17 +334,28 @@
   Deliver(request, end, now, actions);
 }
 
-Placement Steering::ChooseRetry(const Request& request, absl::Time now) {
+Placement Steering::ChooseRetry(Request* request, absl::Time now) {
+  NoRetry& no_retry = request->records.back().no_retry;
+  if (request->sent >= request->route->max_attempts) {
+    no_retry = NoRetry::kAttempts;
+    return {};
+  }
   const absl::Duration work =
-      balancer_.WorkTimeOf(request.service, *request.route).cold;
-  if (request.sent >= request.route->max_attempts ||
-      request.deadline - now < work * kLeastRetryPart) {
+      balancer_.WorkTimeOf(request->service, *request->route).cold;
+  if (request->deadline - now < work * kLeastRetryPart) {
+    no_retry = NoRetry::kTime;
     return {};
   }
-  Placement next = Choose(request, now);
-  if (next.server != nullptr && !retries_.TryRetry(request.service, now)) {
+  Placement next = Choose(*request, now);
+  if (next.server == nullptr) {
+    no_retry = NoRetry::kNoServer;
+    return {};
+  }
+  if (!retries_.TryRetry(request->service, now)) {
+    no_retry = NoRetry::kBudget;
     return {};
   }
+  no_retry = NoRetry::kNotAsked;
   return next;
 }
 
@@ -335,7 +364,7 @@
                        absl::Time now,
                        SteeringActions* actions) {
   actions->push_back(DeliverAnswer{request->caller.id, end.attempt});
-  Finish(request, end.status, "answered", absl::ZeroDuration(), now);
+  Finish(request, end.status, kAnswered, absl::ZeroDuration(), now);
 }
 
 void Steering::GiveUp(Request* request,
@@ -367,12 +396,15 @@
   return work * (kReturnLeast + (kReturnMost - kReturnLeast) * random_.Unit());
 }
 
-void Steering::AbandonAttempt(Request* request, SteeringActions* actions) {
+void Steering::AbandonAttempt(Request* request,
+                              absl::Time now,
+                              SteeringActions* actions) {
   Attempt& attempt = request->attempt;
   if (attempt.id == 0) {
     return;
   }
   attempt.server->OnEnd();
+  request->records.back().took = now - attempt.start;
   attempts_.erase(attempt.id);
   actions->push_back(AbortAttempt{request->caller.id, attempt.id});
   attempt.id = 0;
@@ -391,7 +423,7 @@
       request->attempt.id != 0) {
     return actions;
   }
-  AbandonAttempt(request, &actions);
+  AbandonAttempt(request, now, &actions);
   Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
   return actions;
 }
@@ -420,7 +452,7 @@
                          SteeringActions* actions) {
   const bool was_sent = request->attempt.id != 0;
   request->may_have_run = request->may_have_run || was_sent;
-  AbandonAttempt(request, actions);
+  AbandonAttempt(request, now, actions);
   if (request->is_caller_gone) {
     Finish(request, 0, "caller-gone", absl::ZeroDuration(), now);
     return;
@@ -437,15 +469,14 @@
       request->sent + 1 >= request->route->max_attempts) {
     return;
   }
-  const Placement next = ChooseRetry(*request, now);
+  const Placement next = ChooseRetry(request, now);
   if (next.server == nullptr) {
     return;
   }
   request->attempt.server->OnOutcome(true, now);
-  AbandonAttempt(request, actions);
+  AbandonAttempt(request, now, actions);
   ++request->sent;
   request->may_have_run = true;
-  absl::StrAppend(&request->log.back(), ":result=lost");
   Start(request, next, now, actions);
 }
 
@@ -463,7 +494,7 @@
         request->config == nullptr ? 0 : request->config->version();
     record.status = status;
     record.reason = std::string(reason);
-    record.attempts = request->log;
+    record.attempts = request->records;
     record.retry_after = retry_after;
     record.took = now - request->caller.arrival;
     hooks_.on_request_end(record);
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -15,6 +15,7 @@
 #include "base/base.h"
 #include "gateway/src/balancer.h"
 #include "gateway/src/demand_meter.h"
+#include "gateway/src/request_record.h"
 #include "gateway/src/retry_allowance.h"
 #include "gateway/src/steering_event.h"
 #include "gateway/src/traffic_split.h"
@@ -22,19 +23,6 @@
 
 namespace baobabwall::gateway {
 
-/// \brief One line of the request log: what decided a request's outcome.
-struct RequestRecord {
-  const CallerRequest* request = nullptr;
-  std::string route;
-  std::string service;
-  int64_t config_version = 0;
-  int status = 0;  ///< Given to the caller; 0: the caller left.
-  std::string reason;
-  std::vector<std::string> attempts;  ///< Server, load and outcome of each.
-  absl::Duration retry_after;
-  absl::Duration took;
-};
-
 /// \brief Decides on each request: route, backend server, retry, refusal.
 ///
 /// No I/O and no clock; used by the traffic thread alone. Each request ends by
@@ -66,6 +54,10 @@
     std::function<void(const RequestRecord&)> on_request_end;
     /// A request crashes backend servers; the other instances must know.
     std::function<void(uint64_t fingerprint)> on_crashing_request;
+    /// A backend server gets no new work for that long.
+    std::function<void(const BackendServer&, absl::Duration)> on_server_paused;
+    /// A backend server could be reached again.
+    std::function<void(const BackendServer&)> on_server_back;
   };
 
   Steering(ZoneMap* zones, std::string self, uint64_t seed, Hooks hooks);
@@ -120,7 +112,7 @@
     int sent = 0;    ///< Attempts that reached a server.
     int unsent = 0;  ///< Attempts that did not.
     std::vector<std::string> tried;
-    std::vector<std::string> log;
+    std::vector<AttemptRecord> records;
     Attempt attempt;
     absl::Time next_check;
   };
@@ -135,12 +127,14 @@
              absl::Time now,
              SteeringActions* actions);
   void Learn(const Request& request, const AttemptEnd& end, absl::Time now);
+  void NoteReachable(ServerLoad* server);
+  void NoteUnreachable(const Request& request, absl::Time now);
   void NoteBroken(const Request& request,
                   const AttemptEnd& end,
                   absl::Time now);
-  /// \returns where to send the request once more; without a server if it may
-  /// not be or none has room. Counts as a retry if there is one.
-  Placement ChooseRetry(const Request& request, absl::Time now);
+  /// \returns where to send the request once more, which counts as a retry; or
+  /// no server, with the reason in the attempt's record.
+  Placement ChooseRetry(Request* request, absl::Time now);
   /// \brief Replaces an attempt whose answer seems lost.
   void ReplaceAttempt(Request* request,
                       absl::Time now,
@@ -159,7 +153,9 @@
               absl::string_view reason,
               absl::Time now,
               SteeringActions* actions);
-  void AbandonAttempt(Request* request, SteeringActions* actions);
+  void AbandonAttempt(Request* request,
+                      absl::Time now,
+                      SteeringActions* actions);
   void Finish(Request* request,
               int status,
               absl::string_view reason,
--- a/packages/transport/src/metrics.cc
+++ b/packages/transport/src/metrics.cc
@@ -65,6 +65,11 @@
           .Name("baobabwall_retries_total")
           .Help("Attempts after the first one of a request")
           .Register(registry);
+  prometheus::Family<prometheus::Counter>& refusals =
+      prometheus::BuildCounter()
+          .Name("baobabwall_refusals_total")
+          .Help("Requests that were answered by the instance, by reason")
+          .Register(registry);
   prometheus::Family<prometheus::Counter>& store_calls =
       prometheus::BuildCounter()
           .Name("baobabwall_store_calls_total")
@@ -115,6 +120,11 @@
   families_->retries.Add({{"service", service}}).Increment();
 }
 
+void Metrics::Refused(const std::string& service, const std::string& reason) {
+  families_->refusals.Add({{"service", service}, {"reason", reason}})
+      .Increment();
+}
+
 void Metrics::StoreCallEnded(absl::string_view kind,
                              control::StoreStatus status) {
   families_->store_calls
--- a/packages/transport/src/metrics.h
+++ b/packages/transport/src/metrics.h
@@ -30,6 +30,9 @@
                     base::Outcome outcome,
                     absl::Duration latency);
   void Retried(const std::string& service);
+  /// \brief Counts a request that got an answer of this instance.
+  /// \param reason such as "full".
+  void Refused(const std::string& service, const std::string& reason);
   void StoreCallEnded(absl::string_view kind, control::StoreStatus status);
   /// \param what "backend_server" or "instance".
   void DrainEnded(const std::string& what, absl::Duration time);
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -216,6 +216,43 @@
   CHECK_FALSE(peers.OnHeartbeat(heartbeat, heard + absl::Seconds(2)));
 }
 
+// Guards against an instance that is no longer named without a line that says
+// so, and against a line at each heartbeat.
+TEST_CASE("changes of the instances in use are told once") {
+  PeerTable peers("self", "a");
+  InstanceRecord record = Instance("p", "a-1", "a");
+  record.incarnation = 7;
+  peers.SetRecords({record}, kStart);
+  REQUIRE(peers.TakeChanges(kStart).size() == 1);
+  CHECK(peers.TakeChanges(kStart).empty());
+  Heartbeat heartbeat;
+  heartbeat.instance = "p";
+  heartbeat.incarnation = 7;
+  heartbeat.sequence = 1;
+  heartbeat.is_ready = true;
+  peers.OnHeartbeat(heartbeat, kStart);
+  CHECK(peers.TakeChanges(kStart).empty());
+  // It starts again and is announced before its silence was noticed.
+  record.incarnation = 8;
+  peers.SetRecords({record}, kStart);
+  CHECK(peers.TakeChanges(kStart).empty());
+  heartbeat.incarnation = 8;
+  peers.OnHeartbeat(heartbeat, kStart);
+  const absl::Time end = kStart + PeerTable::kSilence;
+  const auto silent = peers.TakeChanges(end);
+  REQUIRE(silent.size() == 1);
+  CHECK(silent[0].instance == "p");
+  CHECK_FALSE(silent[0].is_live);
+  CHECK(silent[0].silence == PeerTable::kSilence);
+  heartbeat.sequence = 2;
+  peers.OnHeartbeat(heartbeat, end);
+  CHECK(peers.TakeChanges(end).size() == 1);
+  // Its record and its heartbeats end.
+  peers.SetRecords({}, end + PeerTable::kSilence);
+  REQUIRE(peers.TakeChanges(end + PeerTable::kSilence).size() == 1);
+  CHECK(peers.TakeChanges(end + PeerTable::kSilence).empty());
+}
+
 // Guards against a peer that is forgotten because its record lapsed while the
 // store was away, although it is heard.
 TEST_CASE("a peer that is heard outlives its record") {
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -17,6 +17,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
 #include "free_port.h"
+#include "operations_page.h"
 
 namespace baobabwall::test {
 namespace {
@@ -161,6 +162,23 @@
   return text.str();
 }
 
+std::vector<std::string> GatewayFleet::LogFindings() const {
+  const OperationsPage page;
+  std::vector<std::string> findings;
+  for (const auto& [instance, member] : members_) {
+    std::stringstream log(Log(instance));
+    std::string line;
+    // A killed process may leave the last line unfinished.
+    while (std::getline(log, line) && !log.eof()) {
+      const std::string finding = page.Check(line);
+      if (!finding.empty()) {
+        findings.push_back(finding);
+      }
+    }
+  }
+  return findings;
+}
+
 void GatewayFleet::PutConfig(int version) {
   json paths = {RouteOf("read", true), RouteOf("book", false)};
   if (version >= 10) {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -62,6 +62,9 @@
   /// \returns text of the log so far.
   std::string Log(const std::string& instance) const;
 
+  /// \returns the lines of all logs that docs/OPERATIONS.md does not explain.
+  std::vector<std::string> LogFindings() const;
+
   /// \brief Writes a configuration with the routes /read/ and /book/ of host
   /// h.example, and /later/ from version 10 on.
   void PutConfig(int version);
--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -88,6 +88,7 @@
       caller.join();
     }
     CheckRuns();
+    CheckLogs();
     std::cout << "requests=" << sent_.size() << " faults=" << faults_
               << " broken=" << broken_ << "\n";
     return broken_ == 0 ? 0 : 1;
@@ -288,6 +289,12 @@
     }
   }
 
+  void CheckLogs() {
+    for (const std::string& finding : fleet_.LogFindings()) {
+      Expect(false, finding);
+    }
+  }
+
   void CheckRuns() {
     for (const auto& [id, seen] : fleet_.platform().seen()) {
       const auto found = sent_.find(id);
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -214,6 +214,9 @@
                  },
                  [this](PeerCallId id, StoreAnswer answer) {
                    peer_answers[id] = std::move(answer);
+                 },
+                 [this](absl::string_view kind, control::StoreStatus) {
+                   ++ended_calls[std::string(kind)];
                  }}) {}
 
   /// Keys "config" with a version as value, "crash", that of Second() and IDs
@@ -277,6 +280,7 @@
   std::vector<control::StoreCall> calls;
   std::vector<std::pair<Endpoint, control::StoreCall>> peer_calls;
   std::map<PeerCallId, StoreAnswer> peer_answers;
+  std::map<std::string, int> ended_calls;  ///< By kind.
   std::shared_ptr<const ControlView> view;
   GatewayControl control;
 };
