Add baobabwallctl trace: a request's story from the logs

Cause: from an id to its cause took a search by hand through the logs of all instances.

Change: trace reads logs from standard input and prints for each line of the request what decided it, what its reason means, the attempts as a table, and what the instance knew before: the last line of each event and those that name the attempts' backend servers. -o json prints the same as JSON.

--- a/packages/ctl/baobabwallctl_main.cc
+++ b/packages/ctl/baobabwallctl_main.cc
@@ -57,8 +57,8 @@
     return kExitUsage;
   }
   const std::vector<std::string> words(rest.begin() + 1, rest.end());
-  const bool is_offline =
-      words.empty() || words[0] == "help" || words[0] == "completion";
+  const bool is_offline = words.empty() || words[0] == "help" ||
+                          words[0] == "completion" || words[0] == "trace";
   const std::optional<std::vector<Endpoint>> endpoints =
       is_offline ? std::vector<Endpoint>()
                  : ParseEndpoints(address, absl::GetFlag(FLAGS_port));
@@ -68,7 +68,7 @@
   }
   OperatorClient client(*endpoints,
                         FlagOr(absl::GetFlag(FLAGS_token), "BAOBABWALL_TOKEN"));
-  return RunCommand(words, options, &client, &std::cout, &std::cerr);
+  return RunCommand(words, options, &client, &std::cin, &std::cout, &std::cerr);
 }
 
 }  // namespace
--- a/packages/ctl/src/command.h
+++ b/packages/ctl/src/command.h
@@ -1,6 +1,7 @@
 #ifndef CTL_SRC_COMMAND_H_
 #define CTL_SRC_COMMAND_H_
 
+#include <istream>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -20,6 +21,7 @@
   absl::Span<const std::string> arguments;  ///< Without the command's name.
   const Options& options;
   ApiClient* client;
+  std::istream* in;
   std::ostream* out;
   std::ostream* err;
 };
@@ -48,6 +50,7 @@
 ExitStatus Lookup(const Context& context);
 ExitStatus Shift(const Context& context);
 ExitStatus Status(const Context& context);
+ExitStatus Trace(const Context& context);
 ExitStatus Undrain(const Context& context);
 ExitStatus Watch(const Context& context);
 
--- a/packages/ctl/src/commands.cc
+++ b/packages/ctl/src/commands.cc
@@ -47,6 +47,12 @@
        2, 3, Explain},
       {"lookup", "SERVICE CLIENT",
        "Prints the instances that a caller would be named.", 2, 2, Lookup},
+      {"trace", "REQUEST < LOG",
+       "Tells what happened to a request, from the logs of gateways.\n"
+       "The logs are read from standard input, those of several instances one "
+       "after\nthe other or mixed. The exit status is 1 if no line names the "
+       "request.",
+       1, 1, Trace},
       {"completion", "bash",
        "Prints a completion script for the shell.\n"
        "Use it with: source <(baobabwallctl completion bash)",
@@ -61,9 +67,10 @@
 ExitStatus RunCommand(absl::Span<const std::string> arguments,
                       const Options& options,
                       ApiClient* client,
+                      std::istream* in,
                       std::ostream* out,
                       std::ostream* err) {
-  internal::Context context = {{}, options, client, out, err};
+  internal::Context context = {{}, options, client, in, out, err};
   if (arguments.empty()) {
     internal::Help(context);
     return kExitUsage;
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -29,10 +29,12 @@
 
 /// \brief Runs one command.
 /// \param arguments the words after the flags; the first is the command.
+/// \param in read by trace alone.
 /// \returns the exit status.
 ExitStatus RunCommand(absl::Span<const std::string> arguments,
                       const Options& options,
                       ApiClient* client,
+                      std::istream* in,
                       std::ostream* out,
                       std::ostream* err);
 
--- a/test/ctl_test.cc
+++ b/test/ctl_test.cc
@@ -34,10 +34,12 @@
 
 Run RunWith(ApiClient* client,
             std::vector<std::string> words,
-            const Options& options = Options()) {
+            const Options& options = Options(),
+            const std::string& input = "") {
+  std::stringstream in(input);
   std::stringstream out;
   std::stringstream err;
-  const ExitStatus status = RunCommand(words, options, client, &out, &err);
+  const ExitStatus status = RunCommand(words, options, client, &in, &out, &err);
   return {status, out.str(), err.str()};
 }
 
@@ -74,6 +76,55 @@
     R"({"revision": 7, "items": [{"kind": "Region", "name": "amba",
         "resourceVersion": 3, "spec": {"declaredRate": 4}}]})";
 
+constexpr char kGatewayLog[] =
+    "1.0 one I20261204 10:00:01.0 9 a.cc:1] config: in force version=6 "
+    "routes=3 revision=10\n"
+    "2.0 one I20261204 10:00:02.0 9 a.cc:1] config: in force version=7 "
+    "routes=4 revision=12\n"
+    "text of a library\n"
+    "2.5 one I20261204 10:00:02.5 9 a.cc:2] backend: paused server=i-1 "
+    "service=s ms=500\n"
+    "2.6 one I20261204 10:00:02.6 9 a.cc:2] backend: paused server=i-9 "
+    "service=s ms=500\n"
+    "3.0 one I20261204 10:00:03.0 9 a.cc:3] route: ended request=id-1 route=r "
+    "service=s object=5be1 config=7 state=12 status=503 reason=no-connection "
+    "ms=260 retry_after_ms=150 "
+    "attempts=i-1:load=1/5:age_ms=-:expected_ms=90:result=no-connection:"
+    "status=0:ms=250:no_retry=-\n";
+
+// Guards against an on-call engineer who can't get from an id to its cause.
+TEST_CASE("trace tells a request's story from the logs") {
+  MockClient client;
+  const Run run = RunWith(&client, {"trace", "id-1"}, Options(), kGatewayLog);
+  CHECK(run.status == kExitOk);
+  for (const char* part :
+       {"request id-1", "configuration 7, state 12", "status 503 after 260 ms",
+        "no backend server could be reached", "return after 150 ms",
+        "i-1             1/5", "config: in force version=7",
+        "backend: paused server=i-1"}) {
+    INFO(part);
+    CHECK(run.out.find(part) != std::string::npos);
+  }
+  // What was no longer true, or concerns other servers, would mislead.
+  CHECK(run.out.find("version=6") == std::string::npos);
+  CHECK(run.out.find("i-9") == std::string::npos);
+}
+
+// Guards against scripts that can't tell an unknown request from a served one.
+TEST_CASE("trace fails for a request that no line names") {
+  MockClient client;
+  const Run run = RunWith(&client, {"trace", "id-2"}, Options(), kGatewayLog);
+  CHECK(run.status == kExitFailed);
+  CHECK(run.err.find("id-2") != std::string::npos);
+  Options json;
+  json.is_json = true;
+  const Run found = RunWith(&client, {"trace", "id-1"}, json, kGatewayLog);
+  const Json stories = Json::parse(found.out);
+  REQUIRE(stories.size() == 1);
+  CHECK(stories[0]["fields"]["reason"] == "no-connection");
+  CHECK(stories[0]["knownBefore"].size() == 2);
+}
+
 // Guards against an apply that overwrites what it did not see.
 TEST_CASE("apply sends what differs with the versions that it compared") {
   MockClient client;
