Count a crash only for an attempt that began after the first one

Steering asked whether a request was a suspect when the second server was found gone, not when its attempt began; and a suspect that ran to its end afterwards stayed one.

Change: the broken attempt keeps its start; it counts only if that was after the first crash. A whole answer clears the request.

--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -235,27 +235,35 @@
 void Steering::NoteBroken(const Request& request,
                           const AttemptEnd& end,
                           absl::Time now) {
-  if (end.result == AttemptResult::kBroken) {
-    auto& broken = broken_[request.attempt.server->server().id];
-    while (!broken.empty() && now - broken.front().first > kCrashWindow) {
+  const std::string& server = request.attempt.server->server().id;
+  if (end.result == AttemptResult::kCompleted) {
+    suspects_.OnCompleted(request.caller.fingerprint);
+  } else if (end.result == AttemptResult::kBroken) {
+    auto& broken = broken_[server];
+    while (!broken.empty() && now - broken.front().broke > kCrashWindow) {
       broken.pop_front();
     }
-    broken.emplace_back(now, request.caller.fingerprint);
-    return;
-  }
-  if (end.result != AttemptResult::kConnectFailed) {
-    return;
+    broken.push_back({request.attempt.start, now, request.caller.fingerprint});
+  } else if (end.result == AttemptResult::kConnectFailed) {
+    NoteCrash(server, now);
   }
-  const auto broken = broken_.find(request.attempt.server->server().id);
+}
+
+void Steering::NoteCrash(const std::string& server, absl::Time now) {
+  const auto broken = broken_.find(server);
   if (broken == broken_.end()) {
     return;
   }
-  for (const auto& [at, fingerprint] : broken->second) {
-    if (now - at > kCrashWindow) {
+  for (const BrokenAttempt& attempt : broken->second) {
+    if (now - attempt.broke > kCrashWindow) {
       continue;
     }
-    const auto notice = suspects_.OnCrash(
-        fingerprint, suspects_.IsSuspect(fingerprint, now), now);
+    // Servers that fail together break all copies of a request at once; only
+    // one that began after the first crash speaks against the request.
+    const auto first = suspects_.CrashedAt(attempt.fingerprint, now);
+    const bool was_suspect = first && attempt.began >= *first;
+    const auto notice =
+        suspects_.OnCrash(attempt.fingerprint, was_suspect, attempt.broke);
     if (notice && hooks_.on_crashing_request) {
       hooks_.on_crashing_request(notice->fingerprint);
     }
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -100,6 +100,12 @@
     bool was_uncrowded = false;  ///< A slot was free for it.
   };
 
+  struct BrokenAttempt {
+    absl::Time began;
+    absl::Time broke;
+    uint64_t fingerprint = 0;
+  };
+
   struct Request {
     CallerRequest caller;
     std::shared_ptr<const RoutingConfig> config;  ///< Owns `route`.
@@ -127,6 +133,8 @@
              absl::Time now,
              SteeringActions* actions);
   void Learn(const Request& request, const AttemptEnd& end, absl::Time now);
+  /// \brief A backend server is gone: what broke there lately may be the cause.
+  void NoteCrash(const std::string& server, absl::Time now);
   void NoteReachable(ServerLoad* server);
   void NoteUnreachable(const Request& request, absl::Time now);
   void NoteBroken(const Request& request,
@@ -172,8 +180,8 @@
   TrafficSplit split_;
   DemandMeter demand_;
   steer::CrashSuspects suspects_;
-  /// Fingerprints whose connection broke, by server.
-  std::map<std::string, std::deque<std::pair<absl::Time, uint64_t>>> broken_;
+  /// Attempts whose connection broke, by server.
+  std::map<std::string, std::deque<BrokenAttempt>> broken_;
   absl::flat_hash_map<RequestId, std::unique_ptr<Request>> requests_;
   absl::flat_hash_map<AttemptId, RequestId> attempts_;
   absl::flat_hash_map<std::string, absl::Duration> longest_time_left_;
--- a/packages/steer/src/crash_suspects.cc
+++ b/packages/steer/src/crash_suspects.cc
@@ -48,6 +48,14 @@
   return found != suspects_.end() && IsFresh(found->second, now);
 }
 
+std::optional<absl::Time> CrashSuspects::CrashedAt(uint64_t fingerprint,
+                                                   absl::Time now) const {
+  if (!IsSuspect(fingerprint, now)) {
+    return std::nullopt;
+  }
+  return suspects_.at(fingerprint).crashed_at;
+}
+
 CrashSuspects::Verdict CrashSuspects::Judge(uint64_t fingerprint,
                                             absl::Time now) const {
   if (QuarantinedUntil(fingerprint, now) != absl::InfinitePast()) {
--- a/packages/steer/src/crash_suspects.h
+++ b/packages/steer/src/crash_suspects.h
@@ -43,6 +43,10 @@
 
   bool IsSuspect(uint64_t fingerprint, absl::Time now) const;
 
+  /// \returns when its first crash was, if it is a suspect.
+  std::optional<absl::Time> CrashedAt(uint64_t fingerprint,
+                                      absl::Time now) const;
+
   /// \returns backend servers at which another suspect is in flight.
   std::set<std::string> ServersWithSuspects(uint64_t fingerprint) const;
 
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "absl/cleanup/cleanup.h"
+
 namespace baobabwall::gateway {
 namespace {
 
@@ -84,6 +86,35 @@
     return steering.OnAttemptEnd(end, now);
   }
 
+  /// Sends requests until one goes to the server, which refuses it.
+  void ConnectFails(const std::string& server) {
+    std::vector<AttemptId> open;
+    const auto complete_others = absl::MakeCleanup([&] {
+      for (const AttemptId attempt : open) {
+        End(attempt, AttemptResult::kCompleted, 200);
+      }
+    });
+    for (RequestId id = 1000; id < 1100; ++id) {
+      CallerRequest request;
+      request.id = id;
+      request.host = "h";
+      request.path = "/read/probe";
+      request.time_left = absl::Seconds(2);
+      request.arrival = now;
+      const auto actions = steering.OnRequest(request, now);
+      const auto* start = Find<StartAttempt>(actions);
+      if (start == nullptr) {
+        continue;
+      }
+      if (start->server == server) {
+        End(start->attempt, AttemptResult::kConnectFailed, 0);
+        return;
+      }
+      open.push_back(start->attempt);
+    }
+    FAIL("no request goes to " << server);
+  }
+
   template <typename Action>
   static const Action* Find(const SteeringActions& actions) {
     for (const SteeringAction& action : actions) {
@@ -251,6 +282,49 @@
   CHECK(starts <= 6);
 }
 
+// Guards against refusing a proper request for minutes because the servers that
+// ran its copies failed together, as in the loss of a zone.
+TEST_CASE("servers that fail at once make no request a crashing one") {
+  Fixture f;
+  f.PublishServers(2);
+  const auto first = f.Send("/read/1", 1);
+  const auto second = f.Send("/read/1", 2);
+  const StartAttempt* one = Fixture::Find<StartAttempt>(first);
+  const StartAttempt* two = Fixture::Find<StartAttempt>(second);
+  REQUIRE(one->server != two->server);
+  f.now += absl::Milliseconds(50);
+  const auto third = f.End(one->attempt, AttemptResult::kBroken, 0);
+  const auto fourth = f.End(two->attempt, AttemptResult::kBroken, 0);
+  // Each is sent again to the other's server, which is gone as well.
+  for (const auto* actions : {&third, &fourth}) {
+    const StartAttempt* next = Fixture::Find<StartAttempt>(*actions);
+    REQUIRE(next != nullptr);
+    f.End(next->attempt, AttemptResult::kConnectFailed, 0);
+  }
+  CHECK(f.paused.size() == 2);
+  CHECK(f.crashing.empty());
+}
+
+// Guards against refusing a proper request because a server failed while it ran
+// there: it has run to its end since.
+TEST_CASE("a request that has run to its end crashes nothing") {
+  Fixture f;
+  RequestId last = 0;
+  for (int i = 0; i < 3; ++i) {
+    f.now += absl::Seconds(1);
+    const auto begin = f.Send("/book/1", ++last);
+    const StartAttempt* start = Fixture::Find<StartAttempt>(begin);
+    REQUIRE(start != nullptr);
+    f.End(start->attempt, AttemptResult::kBroken, 0);
+    f.ConnectFails(start->server);
+    const auto whole = f.Send("/book/1", ++last);
+    const StartAttempt* again = Fixture::Find<StartAttempt>(whole);
+    REQUIRE(again != nullptr);
+    f.End(again->attempt, AttemptResult::kCompleted, 200);
+  }
+  CHECK(f.crashing.empty());
+}
+
 // Guards against a second report that makes the first one void.
 TEST_CASE("all requests that others reported are stopped") {
   Fixture f;
