Bound the heartbeats of a large fleet; fewer ticks while idle

An instance woke up 177, 376, 720 times a second at 30, 100, 300 instances: each sent a heartbeat to each other every 500 ms, so their number grew with the square of the fleet. Ticks of 20 ms made most of the rest.

Change: beyond 100 instances an idle one is heard in its own zone only, where it would be named next; elsewhere its record counts, which ends with its lease. A change of state (ready, leaving, active) is told to all for as long as silence takes. Intervals grow with the number of receivers: 4 ms each for idle ones up to 1.5 s, 5 ms each for active ones; silence is 3.2 idle intervals.

Ruled out: longer intervals alone; at 300 they save less than half.

--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -53,7 +53,7 @@
              LOG(INFO) << "backend: back server=" << server.id
                        << " service=" << server.service;
            }}),
-      peers_(self_.name, self_.region),
+      peers_(self_.name, self_.zone, self_.region),
       request_log_(settings.log_lines_per_s),
       callers_(&io_,
                {[this](ExchangeId exchange, HttpRequest request) {
@@ -344,8 +344,8 @@
     TickSlow(now);
   }
   TickLeaving(now);
-  timer_.expires_after(
-      std::chrono::milliseconds(absl::ToInt64Milliseconds(kTick)));
+  timer_.expires_after(std::chrono::milliseconds(absl::ToInt64Milliseconds(
+      steering_.in_flight() > 0 ? kTick : kIdleTick)));
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) {
       Tick();
@@ -368,7 +368,7 @@
     heartbeat.demand.emplace_back(gateway::Balancer::ServerHash(service),
                                   static_cast<int>(slots * 1000));
   }
-  channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat.is_active, now));
+  channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat, now));
   steering_.balancer().SetPeerLoads(peers_.Loads(now));
   const int64_t newest = peers_.NewestRevision(now);
   if (newest > heartbeat.state_revision) {
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -27,6 +27,8 @@
 class TrafficLoop {
  public:
   static constexpr absl::Duration kTick = absl::Milliseconds(20);
+  /// While no request is in flight.
+  static constexpr absl::Duration kIdleTick = absl::Milliseconds(50);
   static constexpr absl::Duration kPeerTick = absl::Milliseconds(100);
   static constexpr absl::Duration kSlowTick = absl::Milliseconds(500);
   /// A gap between ticks that shows that the machine was suspended.
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -21,7 +21,7 @@
   for (auto peer = peers_.begin(); peer != peers_.end();) {
     // A record may lapse while the store is away: who is heard stays.
     const bool stays =
-        newest.count(peer->first) > 0 || now - peer->second.heard < kSilence;
+        newest.count(peer->first) > 0 || now - peer->second.heard < Silence();
     if (!stays && peer->second.was_live) {
       removed_.push_back(ChangeOf(peer->first, peer->second, false, now));
     }
@@ -56,12 +56,18 @@
   return true;
 }
 
+bool PeerTable::IsHeard(const Peer& peer) const {
+  return IsMesh() || peer.record.zone == own_zone_ || peer.last.is_active;
+}
+
 bool PeerTable::IsLive(const Peer& peer, absl::Time now) const {
+  const bool is_heard = IsHeard(peer);
   if (peer.heard == absl::InfinitePast()) {
-    return now - peer.announced < kFirstHeartbeat;
+    return !is_heard ||
+           now - peer.announced < std::max(kFirstHeartbeat, Silence());
   }
-  return now - peer.heard < kSilence && peer.last.is_ready &&
-         !peer.last.is_leaving;
+  const bool is_silent = is_heard && now - peer.heard >= Silence();
+  return !is_silent && peer.last.is_ready && !peer.last.is_leaving;
 }
 
 PeerTable::Change PeerTable::ChangeOf(const std::string& name,
@@ -99,13 +105,47 @@
   return live;
 }
 
-std::vector<Endpoint> PeerTable::DueHeartbeats(bool is_active, absl::Time now) {
+absl::Duration PeerTable::IdleInterval() const {
+  return std::clamp(kIdlePerPeer * static_cast<int64_t>(peers_.size()),
+                    kIdleInterval, kLongestIdleInterval);
+}
+
+absl::Duration PeerTable::Silence() const {
+  return IdleInterval() * kSilentIntervals;
+}
+
+std::pair<absl::Duration, absl::Duration> PeerTable::ActiveIntervals() const {
+  int64_t near = 0;
+  int64_t remote = 0;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.last.is_active) {
+      ++(peer.record.region == own_region_ ? near : remote);
+    }
+  }
+  return {std::max(kActiveInterval, kActivePerPeer * near),
+          std::max(kRemoteInterval, kActivePerPeer * remote)};
+}
+
+std::vector<Endpoint> PeerTable::DueHeartbeats(const Heartbeat& heartbeat,
+                                               absl::Time now) {
+  const State state = {heartbeat.is_ready, heartbeat.is_leaving,
+                       heartbeat.is_active};
+  if (!(state == told_)) {
+    told_ = state;
+    told_until_ = now + Silence();
+  }
+  const bool tells_all = IsMesh() || state.is_active || now < told_until_;
+  const absl::Duration idle = IdleInterval();
+  const auto [near, remote] = ActiveIntervals();
   std::vector<Endpoint> due;
   for (auto& [name, peer] : peers_) {
-    absl::Duration interval = kIdleInterval;
-    if (is_active && (peer.last.is_active || peer.last.sequence == 0)) {
-      interval =
-          peer.record.region == own_region_ ? kActiveInterval : kRemoteInterval;
+    const bool is_new = peer.sent == absl::InfinitePast();
+    if (!tells_all && !is_new && peer.record.zone != own_zone_) {
+      continue;
+    }
+    absl::Duration interval = idle;
+    if (state.is_active && (peer.last.is_active || peer.last.sequence == 0)) {
+      interval = peer.record.region == own_region_ ? near : remote;
     }
     if (now - peer.sent < interval) {
       continue;
@@ -120,7 +160,7 @@
     absl::Time now) const {
   std::map<std::string, absl::flat_hash_map<uint32_t, double>> demand;
   for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard > kSilence) {
+    if (now - peer.heard > Silence()) {
       continue;
     }
     for (const auto& [service, milli_slots] : peer.last.demand) {
@@ -133,7 +173,7 @@
 int64_t PeerTable::NewestRevision(absl::Time now) const {
   int64_t newest = 0;
   for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard <= kSilence) {
+    if (now - peer.heard <= Silence()) {
       newest = std::max(newest, peer.last.state_revision);
     }
   }
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -14,24 +15,42 @@
 
 /// \brief The other instances: announced in the store, heard by heartbeats.
 ///
-/// Heartbeats decide while they arrive; the store's record alone counts for an
-/// instance that was never heard, for instance across a partition.
+/// Heartbeats decide while they are due. In a fleet of up to kMeshSize all hear
+/// each other. Beyond it an instance without requests is heard in its zone
+/// only, where it would be named next; elsewhere its record in the store
+/// counts, which ends with its lease. A change of its state is told to all.
 class PeerTable {
  public:
-  /// Heartbeats arrive several times within it, so that one lost datagram does
-  /// not count.
+  /// Idle intervals without a heartbeat until an instance counts as gone: one
+  /// lost datagram does not count.
+  static constexpr double kSilentIntervals = 3.2;
+  /// The same as time, in a fleet of up to kIdleInterval / kIdlePerPeer.
   static constexpr absl::Duration kSilence = absl::Milliseconds(1600);
+  /// Instances that all hear each other. Heartbeats between all grow with the
+  /// square of the fleet; this many cost an instance some hundred a second.
+  static constexpr size_t kMeshSize = 100;
   /// An instance that was announced may take this long until its first
   /// heartbeat.
   static constexpr absl::Duration kFirstHeartbeat = absl::Seconds(2);
   /// Older loads are not counted.
   static constexpr absl::Duration kLoadAge = absl::Milliseconds(1200);
+  /// Shortest intervals between heartbeats: of instances with requests in the
+  /// same region, in different ones, and of all others.
   static constexpr absl::Duration kActiveInterval = absl::Milliseconds(100);
   static constexpr absl::Duration kRemoteInterval = absl::Milliseconds(300);
   static constexpr absl::Duration kIdleInterval = absl::Milliseconds(500);
-
-  PeerTable(std::string self, std::string own_region)
-      : self_(std::move(self)), own_region_(std::move(own_region)) {}
+  /// Intervals grow with the number of receivers, so that an instance of a
+  /// large fleet receives a bounded number of heartbeats a second.
+  static constexpr absl::Duration kActivePerPeer = absl::Milliseconds(5);
+  static constexpr absl::Duration kIdlePerPeer = absl::Milliseconds(4);
+  /// The directory must not name an instance for long after its death.
+  static constexpr absl::Duration kLongestIdleInterval =
+      absl::Milliseconds(1500);
+
+  PeerTable(std::string self, std::string own_zone, std::string own_region)
+      : self_(std::move(self)),
+        own_zone_(std::move(own_zone)),
+        own_region_(std::move(own_region)) {}
 
   /// \brief Follows the records in the store.
   void SetRecords(const std::vector<InstanceRecord>& records, absl::Time now);
@@ -43,9 +62,9 @@
   /// \returns instances that can be used, without this one.
   std::vector<InstanceRecord> Live(absl::Time now) const;
 
-  /// \returns instances that a heartbeat is due to, and notes it as sent.
-  /// \param is_active this instance has requests.
-  std::vector<Endpoint> DueHeartbeats(bool is_active, absl::Time now);
+  /// \returns instances that this heartbeat is due to, and notes it as sent.
+  std::vector<Endpoint> DueHeartbeats(const Heartbeat& heartbeat,
+                                      absl::Time now);
 
   /// \returns requests in flight at other instances, by server.
   absl::flat_hash_map<uint32_t, int> Loads(absl::Time now) const;
@@ -70,6 +89,8 @@
   std::vector<Change> TakeChanges(absl::Time now);
 
   size_t size() const { return peers_.size(); }
+  /// \returns time without a heartbeat after which an instance counts as gone.
+  absl::Duration Silence() const;
 
  private:
   struct Peer {
@@ -81,6 +102,24 @@
     Heartbeat last;
   };
 
+  /// What is told to all when it changes.
+  struct State {
+    bool is_ready = false;
+    bool is_leaving = false;
+    bool is_active = false;
+    bool operator==(const State& other) const {
+      return is_ready == other.is_ready && is_leaving == other.is_leaving &&
+             is_active == other.is_active;
+    }
+  };
+
+  bool IsMesh() const { return peers_.size() < kMeshSize; }
+  /// \returns whether its heartbeats arrive while it lives.
+  bool IsHeard(const Peer& peer) const;
+  absl::Duration IdleInterval() const;
+  /// \returns intervals to instances with requests in the own region, and in
+  /// others.
+  std::pair<absl::Duration, absl::Duration> ActiveIntervals() const;
   bool IsLive(const Peer& peer, absl::Time now) const;
   static Change ChangeOf(const std::string& name,
                          const Peer& peer,
@@ -88,9 +127,12 @@
                          absl::Time now);
 
   std::string self_;
+  std::string own_zone_;
   std::string own_region_;
-  std::map<std::string, Peer> peers_;  ///< By name.
-  std::vector<Change> removed_;        ///< That were live, since the last call.
+  State told_;                                    ///< Of this instance.
+  absl::Time told_until_ = absl::InfinitePast();  ///< To all instances.
+  std::map<std::string, Peer> peers_;             ///< By name.
+  std::vector<Change> removed_;  ///< That were live, since the last call.
 };
 
 }  // namespace baobabwall::gateway
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/gateway.h"
 
 namespace baobabwall::gateway {
@@ -189,7 +190,7 @@
 // Guards against the death of an instance that goes unnoticed, and against one
 // lost datagram that counts as a death.
 TEST_CASE("a peer lives while its heartbeats arrive") {
-  PeerTable peers("self", "a");
+  PeerTable peers("self", "a-1", "a");
   InstanceRecord record = Instance("p", "a-1", "a");
   record.incarnation = 7;
   peers.SetRecords({record}, kStart);
@@ -216,10 +217,136 @@
   CHECK_FALSE(peers.OnHeartbeat(heartbeat, heard + absl::Seconds(2)));
 }
 
+/// A fleet seen by "self" of zone a-1: three regions of two zones each, of
+/// whose instances the first ones have requests.
+class LargeFleet {
+ public:
+  LargeFleet(int instances, int active) : peers("self", "a-1", "a") {
+    for (int i = 1; i < instances; ++i) {
+      const std::string region(1, static_cast<char>('a' + i % 3));
+      const std::string zone = absl::StrCat(region, "-", 1 + i / 3 % 2);
+      records.push_back(Instance(absl::StrCat("p-", i), zone, region));
+    }
+    peers.SetRecords(records, kStart);
+    for (int i = 1; i < instances; ++i) {
+      Hear(i, i < active, kStart);
+    }
+  }
+
+  void Hear(int i, bool is_active, absl::Time now) {
+    Heartbeat heartbeat;
+    heartbeat.instance = absl::StrCat("p-", i);
+    heartbeat.sequence = ++sequence_;
+    heartbeat.is_ready = true;
+    heartbeat.is_active = is_active;
+    peers.OnHeartbeat(heartbeat, now);
+  }
+
+  bool IsLive(int i, absl::Time now) const {
+    const std::string name = absl::StrCat("p-", i);
+    for (const InstanceRecord& record : peers.Live(now)) {
+      if (record.name == name) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /// \returns heartbeats a second that this instance sends.
+  double Sent(bool is_active) {
+    Heartbeat own;
+    own.is_ready = true;
+    own.is_active = is_active;
+    constexpr int kSeconds = 30;
+    const absl::Time begin = kStart + absl::Seconds(10);
+    // The change of its own state is told to all.
+    for (absl::Time now = kStart; now < begin; now += kStep) {
+      peers.DueHeartbeats(own, now);
+    }
+    size_t count = 0;
+    for (absl::Time now = begin; now < begin + absl::Seconds(kSeconds);
+         now += kStep) {
+      count += peers.DueHeartbeats(own, now).size();
+    }
+    return static_cast<double>(count) / kSeconds;
+  }
+
+  PeerTable peers;
+  std::vector<InstanceRecord> records;
+
+ private:
+  static constexpr absl::Duration kStep = absl::Milliseconds(100);
+
+  uint64_t sequence_ = 0;
+};
+
+// Guards against heartbeats between all that take an instance's whole share of
+// a core in a large fleet, and against slower news in a small one.
+TEST_CASE("the heartbeats that an instance sends are bounded") {
+  CHECK(LargeFleet(10, 0).Sent(false) == Approx(18).margin(1));
+  CHECK(LargeFleet(87, 20).Sent(false) == Approx(172).margin(4));
+  CHECK(LargeFleet(300, 75).Sent(false) < 50);
+  CHECK(LargeFleet(800, 200).Sent(false) < 100);
+  CHECK(LargeFleet(800, 200).Sent(true) < 1200);
+}
+
+// Guards against instances of other zones that count as gone because they are
+// not heard, and against gone ones that count as there.
+TEST_CASE("in a large fleet idle instances of other zones live by record") {
+  LargeFleet f(300, 0);
+  const int own_zone = 6;  // Of a-1.
+  const int other = 3;     // Of a-2.
+  const absl::Time later = kStart + absl::Seconds(30);
+  CHECK_FALSE(f.IsLive(own_zone, later));
+  CHECK(f.IsLive(other, later));
+  // With requests it is heard, so that its silence counts.
+  f.Hear(other, true, later);
+  CHECK(f.IsLive(other, later + absl::Seconds(1)));
+  CHECK_FALSE(f.IsLive(other, later + f.peers.Silence()));
+  f.Hear(other, false, later + absl::Seconds(10));
+  CHECK(f.IsLive(other, later + absl::Seconds(30)));
+  // Its lease has ended.
+  f.records.erase(f.records.begin() + other - 1);
+  f.peers.SetRecords(f.records, later + absl::Seconds(30));
+  CHECK_FALSE(f.IsLive(other, later + absl::Seconds(30)));
+}
+
+// Guards against a change of state that other zones never hear of.
+TEST_CASE("a change of state is told to all instances of a large fleet") {
+  LargeFleet f(300, 0);
+  Heartbeat own;
+  own.is_ready = true;
+  CHECK(f.peers.DueHeartbeats(own, kStart).size() == 299);
+  const absl::Time later = kStart + absl::Seconds(10);
+  CHECK(f.peers.DueHeartbeats(own, later).size() == 49);
+  own.is_leaving = true;
+  CHECK(f.peers.DueHeartbeats(own, later + absl::Seconds(2)).size() == 299);
+  // A new instance hears at once who is there.
+  f.records.push_back(Instance("new", "c-1", "c"));
+  f.peers.SetRecords(f.records, later + absl::Seconds(20));
+  const auto due = f.peers.DueHeartbeats(own, later + absl::Seconds(20));
+  CHECK(due.size() == 50);
+}
+
+// Guards against naming an instance for longer than callers can bear after its
+// death, whatever the size of the fleet.
+TEST_CASE("the death of an instance is noticed in a fleet of any size") {
+  for (const int size : {1, 80, 300, 800, 3000}) {
+    PeerTable peers("self", "a-1", "a");
+    std::vector<InstanceRecord> records;
+    for (int i = 0; i < size; ++i) {
+      records.push_back(Instance(absl::StrCat("p-", i), "z", "a"));
+    }
+    peers.SetRecords(records, kStart);
+    CHECK(peers.Silence() >= PeerTable::kSilence);
+    CHECK(peers.Silence() <= absl::Seconds(5));
+  }
+}
+
 // Guards against an instance that is no longer named without a line that says
 // so, and against a line at each heartbeat.
 TEST_CASE("changes of the instances in use are told once") {
-  PeerTable peers("self", "a");
+  PeerTable peers("self", "a-1", "a");
   InstanceRecord record = Instance("p", "a-1", "a");
   record.incarnation = 7;
   peers.SetRecords({record}, kStart);
@@ -256,7 +383,7 @@
 // Guards against a peer that is forgotten because its record lapsed while the
 // store was away, although it is heard.
 TEST_CASE("a peer that is heard outlives its record") {
-  PeerTable peers("self", "a");
+  PeerTable peers("self", "a-1", "a");
   const InstanceRecord record = Instance("p", "a-1", "a");
   peers.SetRecords({record}, kStart);
   Heartbeat heartbeat;
