Find the events in the sources without std::regex

Cause: log_events_test did not compile with sanitizers: GCC 12 takes std::regex for uninitialized there (-Werror=maybe-uninitialized).

Change: the literals are searched by their parts and read with base::EventOfLogLine(), as a tool reads the log. Result: the test passes.

--- a/test/log_events_test.cc
+++ b/test/log_events_test.cc
@@ -1,9 +1,10 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
-#include <regex>
 #include <sstream>
 
+#include "absl/strings/str_cat.h"
+#include "base/base.h"
 #include "operations_page.h"
 
 namespace baobabwall::test {
@@ -16,15 +17,21 @@
   return text.str();
 }
 
+constexpr const char* kParts[] = {"process", "config", "store", "registry",
+                                  "backend", "plan",   "peer",  "http",
+                                  "drain",   "route"};
+
 /// \returns the events whose text begins a literal in the source.
 std::set<std::string> EventsOf(const std::string& source) {
-  static const std::regex kEvent(
-      R"re("((process|config|store|registry|backend|plan|peer|http|drain|route): )re"
-      R"re([A-Za-z' ]*[A-Za-z'])( [a-z_]+=|"))re");
   std::set<std::string> events;
-  for (std::sregex_iterator found(source.begin(), source.end(), kEvent), end;
-       found != end; ++found) {
-    events.insert((*found)[1]);
+  for (const char* part : kParts) {
+    const std::string start = absl::StrCat("\"", part, ": ");
+    for (size_t found = source.find(start); found != std::string::npos;
+         found = source.find(start, found + 1)) {
+      const size_t end = source.find('"', found + 1);
+      const std::string literal = source.substr(found + 1, end - found - 1);
+      events.emplace(base::EventOfLogLine(absl::StrCat("] ", literal)));
+    }
   }
   return events;
 }
