Take a zone that nobody is heard of as gone

In a fleet of more than 100 instances an idle one of another zone counts by its record, which ends up to 8 s after its death. After the loss of a zone its idle instances would be named from the moment on at which those with requests fall silent; 7 s are allowed.

Change: a record counts only while an instance of its zone is heard.

Fleets of up to 100 instances are as before.

--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -21,7 +21,7 @@
   for (auto peer = peers_.begin(); peer != peers_.end();) {
     // A record may lapse while the store is away: who is heard stays.
     const bool stays =
-        newest.count(peer->first) > 0 || now - peer->second.heard < Silence();
+        newest.count(peer->first) > 0 || !IsSilent(peer->second, now);
     if (!stays && peer->second.was_live) {
       removed_.push_back(ChangeOf(peer->first, peer->second, false, now));
     }
@@ -60,14 +60,30 @@
   return IsMesh() || peer.record.zone == own_zone_ || peer.last.is_active;
 }
 
-bool PeerTable::IsLive(const Peer& peer, absl::Time now) const {
-  const bool is_heard = IsHeard(peer);
-  if (peer.heard == absl::InfinitePast()) {
-    return !is_heard ||
-           now - peer.announced < std::max(kFirstHeartbeat, Silence());
+std::set<std::string> PeerTable::HeardZones(absl::Time now) const {
+  std::set<std::string> zones;
+  for (const auto& [name, peer] : peers_) {
+    if (!IsSilent(peer, now)) {
+      zones.insert(peer.record.zone);
+    }
+  }
+  return zones;
+}
+
+bool PeerTable::IsLive(const Peer& peer,
+                       const std::set<std::string>& heard_zones,
+                       absl::Time now) const {
+  const bool was_heard = peer.heard != absl::InfinitePast();
+  if (was_heard && (!peer.last.is_ready || peer.last.is_leaving)) {
+    return false;
+  }
+  if (!IsHeard(peer)) {
+    return heard_zones.count(peer.record.zone) > 0;
+  }
+  if (!was_heard) {
+    return now - peer.announced < std::max(kFirstHeartbeat, Silence());
   }
-  const bool is_silent = is_heard && now - peer.heard >= Silence();
-  return !is_silent && peer.last.is_ready && !peer.last.is_leaving;
+  return !IsSilent(peer, now);
 }
 
 PeerTable::Change PeerTable::ChangeOf(const std::string& name,
@@ -86,8 +102,9 @@
 
 std::vector<PeerTable::Change> PeerTable::TakeChanges(absl::Time now) {
   std::vector<Change> changes = std::exchange(removed_, {});
+  const std::set<std::string> heard_zones = HeardZones(now);
   for (auto& [name, peer] : peers_) {
-    const bool is_live = IsLive(peer, now);
+    const bool is_live = IsLive(peer, heard_zones, now);
     if (is_live != std::exchange(peer.was_live, is_live)) {
       changes.push_back(ChangeOf(name, peer, is_live, now));
     }
@@ -96,9 +113,10 @@
 }
 
 std::vector<InstanceRecord> PeerTable::Live(absl::Time now) const {
+  const std::set<std::string> heard_zones = HeardZones(now);
   std::vector<InstanceRecord> live;
   for (const auto& [name, peer] : peers_) {
-    if (IsLive(peer, now)) {
+    if (IsLive(peer, heard_zones, now)) {
       live.push_back(peer.record);
     }
   }
@@ -160,7 +178,7 @@
     absl::Time now) const {
   std::map<std::string, absl::flat_hash_map<uint32_t, double>> demand;
   for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard > Silence()) {
+    if (IsSilent(peer, now)) {
       continue;
     }
     for (const auto& [service, milli_slots] : peer.last.demand) {
@@ -173,7 +191,7 @@
 int64_t PeerTable::NewestRevision(absl::Time now) const {
   int64_t newest = 0;
   for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard <= Silence()) {
+    if (!IsSilent(peer, now)) {
       newest = std::max(newest, peer.last.state_revision);
     }
   }
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -2,6 +2,7 @@
 #define GATEWAY_SRC_PEER_TABLE_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,7 +19,8 @@
 /// Heartbeats decide while they are due. In a fleet of up to kMeshSize all hear
 /// each other. Beyond it an instance without requests is heard in its zone
 /// only, where it would be named next; elsewhere its record in the store
-/// counts, which ends with its lease. A change of its state is told to all.
+/// counts, which ends with its lease, and only while anyone of its zone is
+/// heard: a zone may fail as a whole. A change of its state is told to all.
 class PeerTable {
  public:
   /// Idle intervals without a heartbeat until an instance counts as gone: one
@@ -120,7 +122,14 @@
   /// \returns intervals to instances with requests in the own region, and in
   /// others.
   std::pair<absl::Duration, absl::Duration> ActiveIntervals() const;
-  bool IsLive(const Peer& peer, absl::Time now) const;
+  bool IsSilent(const Peer& peer, absl::Time now) const {
+    return now - peer.heard >= Silence();
+  }
+  /// \returns zones of which an instance is heard.
+  std::set<std::string> HeardZones(absl::Time now) const;
+  bool IsLive(const Peer& peer,
+              const std::set<std::string>& heard_zones,
+              absl::Time now) const;
   static Change ChangeOf(const std::string& name,
                          const Peer& peer,
                          bool is_live,
