--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -257,7 +257,6 @@
     Heartbeat own;
     own.is_ready = true;
     own.is_active = is_active;
-    constexpr int kSeconds = 30;
     const absl::Time begin = kStart + absl::Seconds(10);
     // The change of its own state is told to all.
     for (absl::Time now = kStart; now < begin; now += kStep) {
@@ -276,6 +275,7 @@
 
  private:
   static constexpr absl::Duration kStep = absl::Milliseconds(100);
+  static constexpr int kSeconds = 30;
 
   uint64_t sequence_ = 0;
 };
