Keep a caller's id from changing the line of its request

The id of a request goes into the log as the caller wrote it: with spaces it adds fields (status=200), and it may be as long as the header limit.

Change: RequestLog::Line() makes the line; the id has at most 64 characters, all but letters, digits, '-', '_' and '.' as '?'.

--- a/packages/edge/src/request_log.cc
+++ b/packages/edge/src/request_log.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "glog/logging.h"
@@ -51,6 +52,23 @@
   return "unknown";
 }
 
+/// Most characters of a caller's id in a line.
+constexpr size_t kMaxIdLength = 64;
+
+/// \returns the id with all but the usual characters replaced: a caller must
+/// not write fields of its own into the log.
+std::string Printable(absl::string_view id) {
+  std::string text(id.substr(0, kMaxIdLength));
+  for (char& c : text) {
+    const bool is_usual = absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+                          c == '-' || c == '_' || c == '.';
+    if (!is_usual) {
+      c = '?';
+    }
+  }
+  return text;
+}
+
 std::string Describe(const gateway::AttemptRecord& attempt) {
   const std::string age =
       attempt.load_age
@@ -68,27 +86,31 @@
 
 }  // namespace internal
 
+std::string RequestLog::Line(const gateway::RequestRecord& record,
+                             int64_t state_revision) {
+  const auto append_attempt = [](std::string* out,
+                                 const gateway::AttemptRecord& attempt) {
+    absl::StrAppend(out, internal::Describe(attempt));
+  };
+  return absl::StrCat(
+      "route: ended request=", internal::Printable(record.request->caller_id),
+      " route=", record.route, " service=", record.service,
+      " object=", absl::Hex(record.request->object),
+      " config=", record.config_version, " state=", state_revision,
+      " status=", record.status, " reason=", record.reason,
+      " ms=", absl::ToInt64Milliseconds(record.took),
+      " retry_after_ms=", absl::ToInt64Milliseconds(record.retry_after),
+      " attempts=", absl::StrJoin(record.attempts, ",", append_attempt));
+}
+
 void RequestLog::Write(const gateway::RequestRecord& record,
                        int64_t state_revision,
                        absl::Time now) {
   if (!limit_.Admit(now)) {
     return;
   }
-  const auto append_attempt = [](std::string* out,
-                                 const gateway::AttemptRecord& attempt) {
-    absl::StrAppend(out, internal::Describe(attempt));
-  };
   const int64_t left_out = limit_.TakeLeftOut();
-  LOG(INFO) << "route: ended request=" << record.request->caller_id
-            << " route=" << record.route << " service=" << record.service
-            << " object=" << absl::StrCat(absl::Hex(record.request->object))
-            << " config=" << record.config_version
-            << " state=" << state_revision << " status=" << record.status
-            << " reason=" << record.reason
-            << " ms=" << absl::ToInt64Milliseconds(record.took)
-            << " retry_after_ms="
-            << absl::ToInt64Milliseconds(record.retry_after) << " attempts="
-            << absl::StrJoin(record.attempts, ",", append_attempt)
+  LOG(INFO) << Line(record, state_revision)
             << (left_out > 0 ? absl::StrCat(" left_out=", left_out) : "");
 }
 
--- a/packages/edge/src/request_log.h
+++ b/packages/edge/src/request_log.h
@@ -2,6 +2,7 @@
 #define EDGE_SRC_REQUEST_LOG_H_
 
 #include <cstdint>
+#include <string>
 
 #include "absl/time/time.h"
 #include "edge/src/line_limit.h"
@@ -19,6 +20,10 @@
              int64_t state_revision,
              absl::Time now);
 
+  /// \returns the event and its fields, without the count of lines left out.
+  static std::string Line(const gateway::RequestRecord& record,
+                          int64_t state_revision);
+
   /// \returns lines that were not written.
   int64_t left_out_total() const { return limit_.left_out_total(); }
 
