--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -91,9 +91,7 @@
                                   const HttpRequest& request) {
   const auto call = DecodeRelayRequest(request);
   if (!call) {
-    HttpResponse unknown(http::status::not_found, 11);
-    unknown.prepare_payload();
-    relay_.Answer(exchange, std::move(unknown));
+    relay_.Answer(exchange, EmptyAnswer(gateway::kHttpNotFound));
     return;
   }
   control_.OnPeerCall(exchange, *call, transport::SteadyNow());
--- a/packages/edge/src/http_message.cc
+++ b/packages/edge/src/http_message.cc
@@ -6,6 +6,12 @@
 
 namespace baobabwall::edge {
 
+HttpResponse EmptyAnswer(int status) {
+  HttpResponse answer(http::int_to_status(status), 11);
+  answer.prepare_payload();
+  return answer;
+}
+
 void RemoveConnectionHeaders(http::fields* headers) {
   std::vector<std::string> named;
   for (const auto& token :
--- a/packages/edge/src/http_message.h
+++ b/packages/edge/src/http_message.h
@@ -31,6 +31,9 @@
   return typename Protocol::endpoint(address, endpoint.port);
 }
 
+/// \returns an answer without a body.
+HttpResponse EmptyAnswer(int status);
+
 /// \brief Removes the headers that concern one connection only, and those that
 /// the connection's Connection header names.
 void RemoveConnectionHeaders(http::fields* headers);
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -289,18 +289,14 @@
           {request.target().data(), request.target().size()})) {
     status = IsReady() ? gateway::kHttpOk : gateway::kHttpUnavailable;
   }
-  HttpResponse answer(http::int_to_status(status), 11);
-  answer.prepare_payload();
-  readiness_.Answer(exchange, std::move(answer));
+  readiness_.Answer(exchange, EmptyAnswer(status));
 }
 
 void TrafficLoop::OnLookup(ExchangeId exchange, const HttpRequest& request) {
   const auto place =
       dialect_->read_lookup({request.target().data(), request.target().size()});
   if (!place) {
-    HttpResponse answer(http::status::not_found, 11);
-    answer.prepare_payload();
-    lookups_.Answer(exchange, std::move(answer));
+    lookups_.Answer(exchange, EmptyAnswer(gateway::kHttpNotFound));
     return;
   }
   const std::vector<gateway::Endpoint> named =
--- a/packages/gateway/src/backend_registry.cc
+++ b/packages/gateway/src/backend_registry.cc
@@ -25,16 +25,14 @@
   return now - store_returned_ < kOutageGrace;
 }
 
-void BackendRegistry::LogEntry(const Entry* before,
+void BackendRegistry::LogEntry(const BackendServer* before,
                                const BackendServer& server) const {
-  const bool is_new =
-      before == nullptr || before->server.incarnation != server.incarnation;
-  if (is_new) {
+  if (before == nullptr) {
     log_(absl::StrCat("registry: server added server=", server.id,
                       " service=", server.service, " zone=", server.zone,
                       " slots=", server.slots,
                       " draining=", server.is_draining));
-  } else if (before->server.is_draining != server.is_draining) {
+  } else if (before->is_draining != server.is_draining) {
     log_(absl::StrCat(server.is_draining ? "registry: server draining"
                                          : "registry: server ready",
                       " server=", server.id, " service=", server.service));
@@ -58,13 +56,21 @@
     server.cold_until = std::max(server.cold_until, now + WarmupOf(server));
   }
   if (!is_start) {
-    LogEntry(is_known ? &known->second : nullptr, server);
+    LogEntry(is_new_incarnation ? nullptr : &known->second.server, server);
   }
   std::string id = server.id;
   entries_[std::move(id)] = Entry{std::move(server)};
   is_changed_ = true;
 }
 
+BackendRegistry::Entries::iterator BackendRegistry::Remove(
+    Entries::iterator entry) {
+  log_(absl::StrCat("registry: server removed server=", entry->first,
+                    " service=", entry->second.server.service));
+  is_changed_ = true;
+  return entries_.erase(entry);
+}
+
 void BackendRegistry::OnRemoved(absl::string_view id, absl::Time now) {
   const auto known = entries_.find(id);
   if (known == entries_.end()) {
@@ -77,10 +83,7 @@
     known->second.removed_at = std::min(known->second.removed_at, now);
     return;
   }
-  log_(absl::StrCat("registry: server removed server=", id,
-                    " service=", known->second.server.service));
-  entries_.erase(known);
-  is_changed_ = true;
+  Remove(known);
 }
 
 void BackendRegistry::OnCompleteRead(const std::set<std::string>& ids,
@@ -141,10 +144,7 @@
       ++entry;
       continue;
     }
-    log_(absl::StrCat("registry: server removed server=", entry->first,
-                      " service=", entry->second.server.service));
-    entry = entries_.erase(entry);
-    is_changed_ = true;
+    entry = Remove(entry);
   }
 }
 
--- a/packages/gateway/src/backend_registry.h
+++ b/packages/gateway/src/backend_registry.h
@@ -67,14 +67,19 @@
     absl::Time removed_at = absl::InfiniteFuture();  ///< While it is kept.
   };
 
+  using Entries = std::map<std::string, Entry, std::less<>>;
+
   absl::Duration WarmupOf(const BackendServer& server) const;
   bool IsNearOutage(absl::Time now) const;
-  void LogEntry(const Entry* before, const BackendServer& server) const;
+  /// \param before the same incarnation as it was known; nullptr: a new one.
+  void LogEntry(const BackendServer* before, const BackendServer& server) const;
+  /// \returns the entry behind the removed one.
+  Entries::iterator Remove(Entries::iterator entry);
 
   std::function<void(const std::string&)> log_;
 
   std::shared_ptr<const RoutingConfig> config_;
-  std::map<std::string, Entry, std::less<>> entries_;
+  Entries entries_;
   std::set<std::string, std::less<>> evacuated_;
   absl::Time store_returned_ = absl::InfinitePast();
   bool is_changed_ = false;
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -277,9 +277,8 @@
   }
 }
 
-std::map<std::string, std::map<std::string, double, std::less<>>>
-Balancer::TakeChangedShares() {
-  std::map<std::string, std::map<std::string, double, std::less<>>> changed;
+std::map<std::string, RegionPlan::Shares> Balancer::TakeChangedShares() {
+  std::map<std::string, RegionPlan::Shares> changed;
   for (auto& [service, plan] : plans_) {
     if (plan.TakeNotable()) {
       changed.emplace(service, plan.shares());
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -120,8 +120,7 @@
 
   /// \returns shares by service, for services where one has changed notably
   /// since the last call.
-  std::map<std::string, std::map<std::string, double, std::less<>>>
-  TakeChangedShares();
+  std::map<std::string, RegionPlan::Shares> TakeChangedShares();
   /// \returns the smallest part of a service's requests that is to run in the
   /// own region.
   double LeastOwnShare() const;
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -172,9 +172,7 @@
     reader_.GiveUp(now);
     return;
   }
-  control::StoreAnswer failed;
-  failed.status = StoreStatus::kUnknown;
-  reader_.OnAnswer(failed, now);
+  reader_.OnAnswer({}, now);
 }
 
 void GatewayControl::OnProbe(bool is_reachable, absl::Time now) {
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -129,7 +129,7 @@
 }
 
 absl::Duration PeerTable::Silence() const {
-  return IdleInterval() * kSilentIntervals;
+  return kSilence * absl::FDivDuration(IdleInterval(), kIdleInterval);
 }
 
 std::pair<absl::Duration, absl::Duration> PeerTable::ActiveIntervals() const {
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -23,10 +23,8 @@
 /// heard: a zone may fail as a whole. A change of its state is told to all.
 class PeerTable {
  public:
-  /// Idle intervals without a heartbeat until an instance counts as gone: one
-  /// lost datagram does not count.
-  static constexpr double kSilentIntervals = 3.2;
-  /// The same as time, in a fleet of up to kIdleInterval / kIdlePerPeer.
+  /// Time without a heartbeat until an instance counts as gone: several idle
+  /// intervals, so that a lost datagram does not count. Grows with them.
   static constexpr absl::Duration kSilence = absl::Milliseconds(1600);
   /// Instances that all hear each other. Heartbeats between all grow with the
   /// square of the fleet; this many cost an instance some hundred a second.
--- a/packages/gateway/src/region_plan.cc
+++ b/packages/gateway/src/region_plan.cc
@@ -23,10 +23,9 @@
 
 }  // namespace internal
 
-std::map<std::string, double, std::less<>> RegionPlan::Target(
-    const internal::Loads& loads,
-    absl::string_view own) {
-  std::map<std::string, double, std::less<>> shares;
+RegionPlan::Shares RegionPlan::Target(const internal::Loads& loads,
+                                      absl::string_view own) {
+  Shares shares;
   double overflow = 0;
   double spare = 0;
   for (const auto& [region, load] : loads) {
@@ -57,7 +56,7 @@
     shares_ = target;
     return;
   }
-  std::map<std::string, double, std::less<>> next;
+  Shares next;
   double total = 0;
   for (const auto& [region, load] : loads) {
     const auto wanted = target.find(region);
--- a/packages/gateway/src/region_plan.h
+++ b/packages/gateway/src/region_plan.h
@@ -28,6 +28,9 @@
 /// that remember nothing.
 class RegionPlan {
  public:
+  /// Parts of the requests by region, 0 to 1.
+  using Shares = std::map<std::string, double, std::less<>>;
+
   /// Part of the capacity that is planned; the rest absorbs fluctuation.
   static constexpr double kPlannedUse = 0.9;
   /// Largest change of a share at one update.
@@ -49,23 +52,21 @@
   /// \returns part of the requests that are to run in a region, 0 to 1.
   double Share(absl::string_view region) const;
 
-  const std::map<std::string, double, std::less<>>& shares() const {
-    return shares_;
-  }
+  const Shares& shares() const { return shares_; }
 
   /// \returns whether a share has changed by kNotable since it last did so.
   bool TakeNotable();
 
   /// \returns the shares that fit the loads, without regard to present ones.
-  static std::map<std::string, double, std::less<>> Target(
+  static Shares Target(
       const std::map<std::string, RegionLoad, std::less<>>& loads,
       absl::string_view own);
 
  private:
   std::string own_;
   /// Shares by region; the own one is first in the order of hashes.
-  std::map<std::string, double, std::less<>> shares_;
-  std::map<std::string, double, std::less<>> noted_;
+  Shares shares_;
+  Shares noted_;
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/state_mirror.h
+++ b/packages/gateway/src/state_mirror.h
@@ -38,8 +38,6 @@
   /// \returns an answer without keys: nothing has changed.
   control::StoreAnswer NoChange() const;
 
-  int64_t revision() const { return revision_; }
-
  private:
   void DropOldestDeleted();
 
--- a/packages/gateway/src/state_relay.cc
+++ b/packages/gateway/src/state_relay.cc
@@ -18,23 +18,27 @@
   return bytes > kMaxAnswerBytes;
 }
 
-control::StoreAnswer NotHere() {
+control::StoreAnswer WithoutKeys(control::StoreStatus status) {
   control::StoreAnswer answer;
-  answer.status = control::StoreStatus::kNotFound;
+  answer.status = status;
   return answer;
 }
 
+/// \returns the answer, or that it is not to be had here if it is large.
+control::StoreAnswer UnlessLarge(control::StoreAnswer answer) {
+  return IsLarge(answer) ? WithoutKeys(control::StoreStatus::kNotFound)
+                         : std::move(answer);
+}
+
 }  // namespace internal
 
 StateRelay::StateRelay(const StateMirror* mirror, Answer answer)
     : mirror_(mirror), answer_(std::move(answer)) {}
 
 control::StoreAnswer StateRelay::Refusal() const {
-  control::StoreAnswer refusal;
-  refusal.status = state_ == State::kStoreLost
-                       ? control::StoreStatus::kRefused
-                       : control::StoreStatus::kNotFound;
-  return refusal;
+  return internal::WithoutKeys(state_ == State::kStoreLost
+                                   ? control::StoreStatus::kRefused
+                                   : control::StoreStatus::kNotFound);
 }
 
 void StateRelay::OnCall(PeerCallId id,
@@ -45,13 +49,12 @@
     return;
   }
   if (std::holds_alternative<control::StoreRange>(request)) {
-    control::StoreAnswer all = mirror_->Range();
-    answer_(id, internal::IsLarge(all) ? internal::NotHere() : std::move(all));
+    answer_(id, internal::UnlessLarge(mirror_->Range()));
     return;
   }
   const auto* watch = std::get_if<control::StoreWatch>(&request);
   if (watch == nullptr) {
-    answer_(id, internal::NotHere());
+    answer_(id, internal::WithoutKeys(control::StoreStatus::kNotFound));
     return;
   }
   watches_[id] = {watch->after_revision, now + watch->timeout};
@@ -65,8 +68,8 @@
     std::optional<control::StoreAnswer> answer;
     if (state_ == State::kServing) {
       answer = mirror_->ChangesAfter(watch->second.after_revision);
-      if (answer && internal::IsLarge(*answer)) {
-        answer = internal::NotHere();
+      if (answer) {
+        answer = internal::UnlessLarge(*std::move(answer));
       }
     } else {
       answer = Refusal();
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -139,7 +139,6 @@
   attempt.id = ++last_attempt_;
   attempt.server = placement.server;
   attempt.start = now;
-  attempt.expected = placement.expected;
   attempt.was_uncrowded = placement.load + 1 <= server.slots;
   request->tried.push_back(server.id);
   AttemptRecord& record = request->records.emplace_back();
@@ -502,7 +501,7 @@
         request->config == nullptr ? 0 : request->config->version();
     record.status = status;
     record.reason = std::string(reason);
-    record.attempts = request->records;
+    record.attempts = std::move(request->records);
     record.retry_after = retry_after;
     record.took = now - request->caller.arrival;
     hooks_.on_request_end(record);
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -96,7 +96,6 @@
     AttemptId id = 0;  ///< 0: none is under way.
     std::shared_ptr<ServerLoad> server;
     absl::Time start;
-    absl::Duration expected;
     bool was_uncrowded = false;  ///< A slot was free for it.
   };
 
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -37,6 +37,18 @@
   return record;
 }
 
+/// Of an instance that is ready.
+Heartbeat HeartbeatOf(absl::string_view name,
+                      int64_t incarnation,
+                      uint64_t sequence) {
+  Heartbeat heartbeat;
+  heartbeat.instance = std::string(name);
+  heartbeat.incarnation = incarnation;
+  heartbeat.sequence = sequence;
+  heartbeat.is_ready = true;
+  return heartbeat;
+}
+
 std::vector<std::string> Named(const CallerPlace& caller,
                                const std::vector<InstanceRecord>& live) {
   std::vector<std::string> names;
@@ -196,11 +208,7 @@
   peers.SetRecords({record}, kStart);
   CHECK(peers.Live(kStart).size() == 1);
   CHECK(peers.Live(kStart + PeerTable::kFirstHeartbeat).empty());
-  Heartbeat heartbeat;
-  heartbeat.instance = "p";
-  heartbeat.incarnation = 7;
-  heartbeat.sequence = 5;
-  heartbeat.is_ready = true;
+  Heartbeat heartbeat = HeartbeatOf("p", 7, 5);
   heartbeat.loads = {{1, 3}};
   const absl::Time heard = kStart + absl::Seconds(5);
   CHECK(peers.OnHeartbeat(heartbeat, heard));
@@ -234,10 +242,7 @@
   }
 
   void Hear(int i, bool is_active, absl::Time now) {
-    Heartbeat heartbeat;
-    heartbeat.instance = absl::StrCat("p-", i);
-    heartbeat.sequence = ++sequence_;
-    heartbeat.is_ready = true;
+    Heartbeat heartbeat = HeartbeatOf(absl::StrCat("p-", i), 0, ++sequence_);
     heartbeat.is_active = is_active;
     peers.OnHeartbeat(heartbeat, now);
   }
@@ -370,11 +375,7 @@
   peers.SetRecords({record}, kStart);
   REQUIRE(peers.TakeChanges(kStart).size() == 1);
   CHECK(peers.TakeChanges(kStart).empty());
-  Heartbeat heartbeat;
-  heartbeat.instance = "p";
-  heartbeat.incarnation = 7;
-  heartbeat.sequence = 1;
-  heartbeat.is_ready = true;
+  Heartbeat heartbeat = HeartbeatOf("p", 7, 1);
   peers.OnHeartbeat(heartbeat, kStart);
   CHECK(peers.TakeChanges(kStart).empty());
   // It starts again and is announced before its silence was noticed.
@@ -404,11 +405,7 @@
   PeerTable peers("self", "a-1", "a");
   const InstanceRecord record = Instance("p", "a-1", "a");
   peers.SetRecords({record}, kStart);
-  Heartbeat heartbeat;
-  heartbeat.instance = "p";
-  heartbeat.sequence = 1;
-  heartbeat.is_ready = true;
-  peers.OnHeartbeat(heartbeat, kStart);
+  peers.OnHeartbeat(HeartbeatOf("p", 0, 1), kStart);
   peers.SetRecords({}, kStart + absl::Seconds(1));
   CHECK(peers.Live(kStart + absl::Seconds(1)).size() == 1);
   peers.SetRecords({}, kStart + absl::Seconds(3));
