Pass all log lines of the gateway through the bounded writer

Cause: FLAGS_logtostderr, set in main(), makes glog write lines to standard error itself and leave its loggers out.

Change: while LogWriter is installed, the flag is off, only the logger of the lowest severity writes, and glog writes nothing to standard error. Two process tests: lines_per_s = 0 leaves no line on either output; a pipe of 4 KB that nobody reads blocks neither requests nor the shutdown.

--- a/packages/edge/src/log_writer.cc
+++ b/packages/edge/src/log_writer.cc
@@ -54,18 +54,31 @@
 }  // namespace internal
 
 /// Receives the log lines of glog from construction to destruction.
+///
+/// glog passes a line to the loggers of its own and all lower severities, so
+/// only the logger of the lowest severity writes.
 class LogWriter::GlogRedirect : public google::base::Logger {
  public:
-  explicit GlogRedirect(LogWriter* writer) : writer_(writer) {
+  explicit GlogRedirect(LogWriter* writer)
+      : writer_(writer),
+        previous_logs_to_stderr_(FLAGS_logtostderr),
+        previous_stderr_threshold_(FLAGS_stderrthreshold) {
+    // With this flag, glog writes to standard error instead of to its loggers.
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::FATAL;
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
       previous_loggers_[severity] = google::base::GetLogger(severity);
-      google::base::SetLogger(severity, this);
+      google::base::SetLogger(severity, severity == google::INFO
+                                            ? static_cast<Logger*>(this)
+                                            : &null_logger_);
     }
   }
   ~GlogRedirect() override {
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity) {
       google::base::SetLogger(severity, previous_loggers_[severity]);
     }
+    FLAGS_logtostderr = previous_logs_to_stderr_;
+    FLAGS_stderrthreshold = previous_stderr_threshold_;
   }
 
   void Write(bool /*force_flush*/,
@@ -78,7 +91,17 @@
   google::uint32 LogSize() override { return 0; }
 
  private:
+  class NullLogger : public google::base::Logger {
+   public:
+    void Write(bool, time_t, const char*, size_t) override {}
+    void Flush() override {}
+    google::uint32 LogSize() override { return 0; }
+  };
+
   LogWriter* writer_;
+  bool previous_logs_to_stderr_;
+  int previous_stderr_threshold_;
+  NullLogger null_logger_;
   google::base::Logger* previous_loggers_[google::NUM_SEVERITIES] = {};
 };
 
--- a/packages/edge/src/log_writer.h
+++ b/packages/edge/src/log_writer.h
@@ -35,11 +35,12 @@
   LogWriter(const LogWriter&) = delete;
   LogWriter& operator=(const LogWriter&) = delete;
 
-  /// \brief Makes this writer the destination of glog's lines of all
-  /// severities.
+  /// \brief Makes this writer the only destination of glog's lines of all
+  /// severities; glog itself writes nothing to standard error any more, except
+  /// before it ends the process for a fatal error.
   void Install();
   /// \brief Waits up to one second until the pending lines are written, then
-  /// restores the previous loggers of glog.
+  /// restores the previous destinations of glog.
   void Uninstall();
 
   /// \param line log line with a trailing newline.
--- a/test/child_process.h
+++ b/test/child_process.h
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace baobabwall::test {
@@ -15,7 +16,15 @@
 /// \brief A child process that is killed when this object is destroyed.
 class ChildProcess {
  public:
-  ChildProcess(std::vector<std::string> arguments, const std::string& log) {
+  /// \param log file to which standard output and standard error are appended.
+  ChildProcess(std::vector<std::string> arguments, const std::string& log)
+      : ChildProcess(std::move(arguments), log, -1) {}
+
+  /// \param standard_output descriptor that becomes the standard output of the
+  /// process; -1 to use the log file.
+  ChildProcess(std::vector<std::string> arguments,
+               const std::string& log,
+               int standard_output) {
     std::vector<char*> argv;
     for (std::string& argument : arguments) {
       argv.push_back(argument.data());
@@ -27,6 +36,10 @@
       posix_spawn_file_actions_addopen(&actions, descriptor, log.c_str(),
                                        O_WRONLY | O_CREAT | O_APPEND, 0644);
     }
+    if (standard_output >= 0) {
+      posix_spawn_file_actions_adddup2(&actions, standard_output,
+                                       STDOUT_FILENO);
+    }
     if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) !=
         0) {
       pid_ = 0;
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -135,7 +135,8 @@
            << address("lookups", entry.lookups) << address("peers", entry.peers)
            << address("metrics", entry.metrics) << address("store", store_port_)
            << "[zones]\na-1 = a\na-2 = a\nb-1 = b\n"
-           << "[shutdown]\ngrace_s = 4\n";
+           << "[shutdown]\ngrace_s = 4\n"
+           << extra_settings_;
   settings.close();
   Restart(instance);
 }
@@ -147,7 +148,7 @@
       std::vector<std::string>{
           BAOBABWALLD, "--gateway",
           absl::StrCat("--settings=", folder_, "/", instance, ".ini")},
-      absl::StrCat(folder_, "/", instance, ".log"));
+      absl::StrCat(folder_, "/", instance, ".log"), standard_output_);
 }
 
 bool GatewayFleet::WaitReady(const std::string& instance) const {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -43,6 +43,14 @@
   /// started after this call.
   void SetStorePort(int port) { store_port_ = port; }
 
+  /// \brief Sets text that is appended to the settings files of instances that
+  /// are started after this call.
+  void SetExtraSettings(std::string text) { extra_settings_ = std::move(text); }
+
+  /// \brief Sets the descriptor that becomes the standard output of instances
+  /// that are started after this call; standard error goes to the log file.
+  void SetStandardOutput(int descriptor) { standard_output_ = descriptor; }
+
   /// \brief Writes the settings file of an instance and starts its process.
   /// \param zone "a-1", "a-2" or "b-1".
   void Start(const std::string& instance, const std::string& zone);
@@ -90,6 +98,8 @@
   std::string folder_;
   PlatformStandin platform_;
   int store_port_;
+  int standard_output_ = -1;
+  std::string extra_settings_;
   std::map<std::string, Instance> instances_;
 };
 
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -72,6 +73,47 @@
   CHECK(absl::StrContains(metrics.body, "baobabwall_request_seconds_bucket"));
 }
 
+// Guards against log lines that bypass the log writer: they were not bounded
+// and went to standard error.
+TEST_CASE("all log lines pass through the bounded writer") {
+  GatewayFleet fleet("log-bound");
+  fleet.PutConfig(1);
+  fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(1));
+  fleet.SetExtraSettings("[log]\nlines_per_s = 0\n");
+  fleet.Start("one", "a-1");
+  REQUIRE(fleet.WaitReady("one"));
+  CHECK(Send(fleet.caller_port("one"), "/read/x", "id-1").status == 200);
+  fleet.process("one").Signal(SIGTERM);
+  CHECK(fleet.process("one").Wait() == 0);
+  CHECK(fleet.Log("one").empty());
+}
+
+// Guards against a process that stops serving, or that cannot exit, because
+// nobody reads its log.
+TEST_CASE("a log pipe that nobody reads does not block the process") {
+  int ends[2];
+  REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
+  REQUIRE(fcntl(ends[1], F_SETPIPE_SZ, 4096) >= 0);
+  {
+    GatewayFleet fleet("log-pipe");
+    fleet.PutConfig(1);
+    fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(1));
+    fleet.SetStandardOutput(ends[1]);
+    fleet.Start("one", "a-1");
+    REQUIRE(fleet.WaitReady("one"));
+    // Each request writes a line of about 300 bytes.
+    for (int i = 0; i < 100; ++i) {
+      CHECK(Send(fleet.caller_port("one"), "/read/x", absl::StrCat("id-", i))
+                .status == 200);
+    }
+    CHECK(fleet.Log("one").empty());
+    fleet.process("one").Signal(SIGTERM);
+    CHECK(fleet.process("one").Wait() == 0);
+  }
+  close(ends[0]);
+  close(ends[1]);
+}
+
 // Guards against configuration changes that take effect late or never.
 TEST_CASE("a new route is served within the time limit") {
   Fixture fixture("config");
