--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -59,9 +59,10 @@
                            control::StoreCall call) {
     peer_link_.Call(peer, std::move(call));
   };
-  hooks.answer_peer = [this](gateway::PeerCallId id,
-                             const control::StoreAnswer& answer) {
-    peer_listener_.Answer(id, EncodeRelayAnswer(answer));
+  hooks.answer_peer = [this](
+                          gateway::PeerCallId id,
+                          std::shared_ptr<const control::StoreAnswer> answer) {
+    peer_listener_.Answer(id, relay_encoder_.Encode(std::move(answer)));
   };
   hooks.call_ended = [metrics](absl::string_view kind,
                                control::StoreStatus status) {
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -8,6 +8,7 @@
 
 #include "edge/src/dialect.h"
 #include "edge/src/http_listener.h"
+#include "edge/src/relay_codec.h"
 #include "edge/src/store_link.h"
 #include "gateway/gateway.h"
 #include "transport/transport.h"
@@ -70,6 +71,7 @@
   StoreLink store_link_;
   StoreLink peer_link_;
   HttpListener peer_listener_;
+  RelayAnswerEncoder relay_encoder_;
   /// Time of the last complete read of the shared state, in nanoseconds of the
   /// steady clock; 0 before the first read. The metrics read this value on
   /// another thread.
--- a/packages/edge/src/relay_codec.cc
+++ b/packages/edge/src/relay_codec.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
+#include "edge/src/deflate.h"
 
 namespace baobabwall::edge {
 namespace internal {
@@ -17,6 +18,8 @@
 constexpr absl::string_view kAllKeysPath = "/state/keys";
 constexpr absl::string_view kChangesPath = "/state/changes/";
 
+constexpr char kDeflate[] = "deflate";
+
 constexpr size_t kNumAnswerFields = 3;
 
 /// Maximum time for which a watch of another instance may stay pending.
@@ -93,13 +96,42 @@
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, "application/msgpack");
   internal::json::to_msgpack(body, response.body());
+  if (response.body().size() >= kMinCompressedBytes) {
+    response.body() = Deflate(response.body());
+    response.set(http::field::content_encoding, internal::kDeflate);
+  }
+  if (response.body().size() > kMaxRelayAnswerBytes) {
+    control::StoreAnswer too_large;
+    too_large.status = control::StoreStatus::kNotFound;
+    return EncodeRelayAnswer(too_large);
+  }
   response.prepare_payload();
   return response;
 }
 
+HttpResponse RelayAnswerEncoder::Encode(
+    std::shared_ptr<const control::StoreAnswer> answer) {
+  if (answer != last_answer_) {
+    last_encoded_ = EncodeRelayAnswer(*answer);
+    last_answer_ = std::move(answer);
+  }
+  return last_encoded_;
+}
+
 control::StoreAnswer DecodeRelayAnswer(const HttpResponse& answer) {
-  const internal::json body = internal::json::from_msgpack(
-      answer.body().begin(), answer.body().end(), true, false);
+  std::string inflated;
+  const bool is_compressed =
+      answer[http::field::content_encoding] == internal::kDeflate;
+  if (is_compressed) {
+    std::optional<std::string> text = Inflate(answer.body());
+    if (!text) {
+      return {};
+    }
+    inflated = *std::move(text);
+  }
+  const std::string& encoded = is_compressed ? inflated : answer.body();
+  const internal::json body =
+      internal::json::from_msgpack(encoded.begin(), encoded.end(), true, false);
   if (!body.is_array() || body.size() < internal::kNumAnswerFields) {
     return {};
   }
--- a/packages/edge/src/relay_codec.h
+++ b/packages/edge/src/relay_codec.h
@@ -1,6 +1,8 @@
 #ifndef EDGE_SRC_RELAY_CODEC_H_
 #define EDGE_SRC_RELAY_CODEC_H_
 
+#include <cstddef>
+#include <memory>
 #include <optional>
 
 #include "control/control.h"
@@ -18,8 +20,27 @@
 std::optional<control::StoreRequest> DecodeRelayRequest(
     const HttpRequest& request);
 
+/// Maximum size of an encoded answer. A reader sends an answer to tens of
+/// followers at once, and its link may have only 10 Mbit/s. Followers read
+/// larger answers from the store.
+inline constexpr size_t kMaxRelayAnswerBytes = 128 * 1024;
+/// Answers from this size on are compressed.
+inline constexpr size_t kMinCompressedBytes = 1024;
+
+/// \returns the encoded answer; an answer with status kNotFound if the encoded
+/// answer is larger than kMaxRelayAnswerBytes.
 HttpResponse EncodeRelayAnswer(const control::StoreAnswer& answer);
 
+/// \brief Encodes answers that are sent to many followers once.
+class RelayAnswerEncoder {
+ public:
+  HttpResponse Encode(std::shared_ptr<const control::StoreAnswer> answer);
+
+ private:
+  std::shared_ptr<const control::StoreAnswer> last_answer_;
+  HttpResponse last_encoded_;
+};
+
 /// \returns an answer without a call id; the status is kUnknown if the body
 /// cannot be decoded.
 control::StoreAnswer DecodeRelayAnswer(const HttpResponse& answer);
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -386,6 +386,9 @@
   if (steering_.in_flight() > 0) {
     heartbeat.loads = steering_.balancer().OwnLoads();
   }
+  if (heartbeat.is_active) {
+    heartbeat.planned_shares = steering_.balancer().PlannedShares();
+  }
   for (const auto& [service, slots] : steering_.Demand(now)) {
     heartbeat.demand.emplace_back(gateway::Balancer::HeartbeatKey(service),
                                   static_cast<int>(slots * 1000));
@@ -393,6 +396,7 @@
   peer_channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat, now));
   if (heartbeat.is_active) {
     UpdatePeerLoads(now);
+    steering_.balancer().AdoptPlans(peers_.LeaderShares(now));
   }
   UpdateLiveInstances(now);
   if (peers_.newest_revision() > heartbeat.state_revision) {
@@ -410,6 +414,7 @@
     demand[self_.region][gateway::Balancer::HeartbeatKey(service)] += slots;
   }
   steering_.balancer().UpdatePlans(demand, now);
+  steering_.balancer().AdoptPlans(peers_.LeaderShares(now));
   LogShareChanges();
 }
 
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -1,8 +1,8 @@
 #include "gateway/src/balancer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <set>
 #include <utility>
 
 #include "base/base.h"
@@ -23,6 +23,43 @@
          a.endpoint == b.endpoint && a.service == b.service;
 }
 
+/// The servers with the highest ranks, the highest first.
+class TopServers {
+ public:
+  void Add(const ServerLoad* server, uint64_t rank) {
+    for (Entry& entry : entries_) {
+      if (entry.server == nullptr || rank > entry.rank) {
+        std::swap(entry.server, server);
+        std::swap(entry.rank, rank);
+      }
+      if (server == nullptr) {
+        return;
+      }
+    }
+  }
+
+  /// Appends the servers that are not yet in the list.
+  template <typename List>
+  void AppendTo(List* list) const {
+    for (const Entry& entry : entries_) {
+      const bool is_new =
+          entry.server != nullptr &&
+          std::find(list->begin(), list->end(), entry.server) == list->end();
+      if (is_new) {
+        list->push_back(entry.server);
+      }
+    }
+  }
+
+ private:
+  struct Entry {
+    const ServerLoad* server = nullptr;
+    uint64_t rank = 0;
+  };
+
+  std::array<Entry, Balancer::kRankedServers> entries_;
+};
+
 bool Contains(absl::Span<const std::string> names, absl::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -76,6 +113,10 @@
 void Balancer::SetInstances(std::vector<InstanceRecord> instances) {
   instances_ = std::move(instances);
   cold_request_rates_.clear();
+  cpu_share_by_region_.clear();
+  for (const InstanceRecord& instance : instances_) {
+    cpu_share_by_region_[instance.region] += instance.cpu_share;
+  }
 }
 
 int64_t Balancer::ColdRequestRate(const ServerLoad& server) {
@@ -179,7 +220,10 @@
       load.Slowness(now) * (load.IsCold(now) ? kColdServerWorkFactor : 1.0);
   const bool is_cached =
       !query.has_affinity || load.cached_objects().Has(query.object, now);
-  const bool is_preferred = &load == context.preferred;
+  const auto rank =
+      std::find(context.ranked.begin(), context.ranked.end(), &load);
+  const bool is_ranked = rank != context.ranked.end();
+  const bool is_preferred = is_ranked && rank == context.ranked.begin();
   Candidate candidate;
   candidate.load = load.EstimateInFlight(now);
   candidate.is_likely_cached = is_cached || is_preferred;
@@ -187,8 +231,12 @@
   candidate.work_s = context.warm_work_s * slowness;
   const double waiting = std::max(0.0, candidate.load + 1 - slots);
   const double wait_s = candidate.work_s * (waiting / slots);
-  const double cold_probability =
-      is_cached ? 0 : (is_preferred ? kPreferredServerColdProbability : 1);
+  double cold_probability = 0;
+  if (!is_cached) {
+    cold_probability = is_preferred ? kPreferredServerColdProbability
+                       : is_ranked  ? kRankedServerColdProbability
+                                    : 1;
+  }
   const double expected_work_s =
       (context.warm_work_s +
        (context.cold_work_s - context.warm_work_s) * cold_probability) *
@@ -200,37 +248,41 @@
   if (query.has_affinity && !is_preferred) {
     candidate.cost_s += context.warm_work_s * kNonPreferredServerCostRatio;
   }
+  if (query.has_affinity && !is_ranked && !is_cached) {
+    candidate.cost_s += context.cold_work_s * kUnrankedServerCostRatio;
+  }
   // If several servers are otherwise equal, the least loaded server is chosen.
   candidate.cost_s += context.warm_work_s * (0.1 * candidate.load / slots);
   return candidate;
 }
 
-const ServerLoad* Balancer::PreferredServer(const PlacementQuery& query,
-                                            absl::Span<const Server> servers,
-                                            absl::Time now) const {
+void Balancer::RankServers(absl::Span<const Server> servers,
+                           PlacementContext* context) const {
+  const PlacementQuery& query = context->query;
   if (!query.has_affinity) {
-    return nullptr;
+    return;
   }
   const auto plan = plans_.find(query.service);
   const absl::string_view home =
       plan == plans_.end()
           ? zones_->own_region()
           : plan->second.RegionOf(query.object, query.route->allowed_regions);
-  uint64_t best_rank = 0;
-  const ServerLoad* best = nullptr;
+  internal::TopServers in_home_region;
+  internal::TopServers in_all_regions;
   for (const Server& server : servers) {
-    if (server.zone->region != home || !IsAvailable(server, now) ||
-        server.load->IsCold(now)) {
+    if (!IsAvailable(server, context->now) ||
+        server.load->IsCold(context->now)) {
       continue;
     }
     const uint64_t rank =
         internal::RendezvousRank(query.object, server.description->id);
-    if (best == nullptr || rank > best_rank) {
-      best = server.load.get();
-      best_rank = rank;
+    in_all_regions.Add(server.load.get(), rank);
+    if (server.zone->region == home) {
+      in_home_region.Add(server.load.get(), rank);
     }
   }
-  return best;
+  in_home_region.AppendTo(&context->ranked);
+  in_all_regions.AppendTo(&context->ranked);
 }
 
 Balancer::PlacementContext Balancer::MakeContext(
@@ -238,13 +290,13 @@
     absl::Span<const Server> servers,
     absl::Time now) const {
   const WorkTime work = WorkTimeOf(query.service, *query.route);
-  PlacementContext context{query, now};
+  PlacementContext context{query, now, 0, 0, 0, false, {}};
   context.warm_work_s = absl::ToDoubleSeconds(work.warm);
   context.cold_work_s = absl::ToDoubleSeconds(work.cold);
   context.objective_left_s =
       absl::ToDoubleSeconds(query.objective_deadline - now);
   context.has_urgent_requests = HasRecentUrgentRequests(query, now);
-  context.preferred = PreferredServer(query, servers, now);
+  RankServers(servers, &context);
   return context;
 }
 
@@ -281,30 +333,52 @@
   return {chosen->load, best.load, absl::Seconds(best.expected_s), {}};
 }
 
+void Balancer::RecordStart(const PlacementQuery& query,
+                           ServerLoad* server,
+                           absl::Time now) {
+  if (query.has_affinity) {
+    server->cached_objects().Add(query.object, now);
+  }
+}
+
+void Balancer::RecordNotRun(const PlacementQuery& query, ServerLoad* server) {
+  if (query.has_affinity) {
+    server->cached_objects().Remove(query.object);
+  }
+}
+
+void Balancer::RecordOverdue(const PlacementQuery& query,
+                             ServerLoad* server,
+                             absl::Duration elapsed,
+                             absl::Time now) const {
+  RecordNotRun(query, server);
+  server->RecordOutcome(true, now);
+  const absl::Duration cold = WorkTimeOf(query.service, *query.route).cold;
+  if (elapsed > cold) {
+    server->RecordWorkTimeRatio(absl::FDivDuration(elapsed, cold), now);
+  }
+}
+
 void Balancer::RecordWorkTime(const PlacementQuery& query,
                               ServerLoad* server,
                               absl::Duration work,
                               absl::Time now) {
-  const bool was_cached =
-      query.has_affinity && server->cached_objects().Has(query.object, now);
   const WorkTime previous = WorkTimeOf(query.service, *query.route);
   const bool is_warm = work_times_.OnAnswer(query.service, *query.route, work);
   const absl::Duration expected = is_warm ? previous.warm : previous.cold;
   if (expected > absl::ZeroDuration()) {
     server->RecordWorkTimeRatio(absl::FDivDuration(work, expected), now);
   }
-  if (query.has_affinity && was_cached && !is_warm) {
-    server->cached_objects().Remove(query.object);
-  } else if (query.has_affinity) {
-    server->cached_objects().Add(query.object, now);
-  }
 }
 
 void Balancer::UpdatePlans(
     const std::map<std::string, absl::flat_hash_map<uint32_t, double>>& demand,
     absl::Time now) {
   for (const auto& [service, servers] : servers_by_service_) {
-    std::map<std::string, RegionLoad, std::less<>> loads;
+    RegionPlan::Loads loads;
+    for (const auto& [region, cpu_share] : cpu_share_by_region_) {
+      loads[region].cpu_share = cpu_share;
+    }
     for (const auto& [region, by_hash] : demand) {
       const auto found = by_hash.find(HeartbeatKey(service));
       loads[region].demand = found == by_hash.end() ? 0 : found->second;
@@ -316,8 +390,37 @@
       }
     }
     plans_.try_emplace(service, zones_->own_region())
-        .first->second.Update(loads);
+        .first->second.Update(loads, now);
+  }
+}
+
+void Balancer::AdoptPlans(absl::Span<const PlannedShare> shares) {
+  absl::flat_hash_map<uint32_t, RegionPlan::Shares> shares_by_service;
+  for (const std::string& region : zones_->Regions()) {
+    const uint32_t key = HeartbeatKey(region);
+    for (const PlannedShare& share : shares) {
+      if (share.region == key) {
+        shares_by_service[share.service][region] = share.permille / 1000.0;
+      }
+    }
+  }
+  for (auto& [service, plan] : plans_) {
+    const auto found = shares_by_service.find(HeartbeatKey(service));
+    if (found != shares_by_service.end()) {
+      plan.Adopt(std::move(found->second));
+    }
+  }
+}
+
+std::vector<PlannedShare> Balancer::PlannedShares() const {
+  std::vector<PlannedShare> shares;
+  for (const auto& [service, plan] : plans_) {
+    for (const auto& [region, share] : plan.shares()) {
+      shares.push_back({HeartbeatKey(service), HeartbeatKey(region),
+                        static_cast<int>(std::lround(share * 1000))});
+    }
   }
+  return shares;
 }
 
 std::map<std::string, RegionPlan::Shares> Balancer::TakeChangedShares() {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -8,10 +8,12 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "gateway/src/backend_server.h"
+#include "gateway/src/heartbeat.h"
 #include "gateway/src/instance_record.h"
 #include "gateway/src/region_plan.h"
 #include "gateway/src/routing_config.h"
@@ -61,10 +63,20 @@
   /// as a fraction of the work time. The cost is small, so it only decides
   /// between servers that are otherwise equal.
   static constexpr double kNonPreferredServerCostRatio = 0.3;
+  /// Number of servers of the home region, and of all regions, with the highest
+  /// ranks for an object that all instances try first if the preferred server
+  /// is full. With the same alternates at all instances, an object is cached by
+  /// few servers.
+  static constexpr size_t kRankedServers = 2;
+  /// Additional cost of a server that is not among the ranked servers of an
+  /// object, as a fraction of the work time of an uncached object.
+  static constexpr double kUnrankedServerCostRatio = 0.3;
   /// Probability, 0 to 1, that the preferred server has not cached an object
   /// which this instance never sent to that server. The probability is below 1
   /// because other instances send requests for the object to the same server.
   static constexpr double kPreferredServerColdProbability = 0.25;
+  /// The same probability for the other ranked servers of an object.
+  static constexpr double kRankedServerColdProbability = 0.8;
   /// Load limit of a server, as a multiple of its slots, for requests whose
   /// object the server has not cached and for which it is not the preferred
   /// server. These requests take long and evict other objects; without the
@@ -100,6 +112,20 @@
 
   Placement Choose(const PlacementQuery& query, absl::Time now);
 
+  /// \brief Records that the request is sent to the server, which caches its
+  /// object from the start of the work.
+  static void RecordStart(const PlacementQuery& query,
+                          ServerLoad* server,
+                          absl::Time now);
+  /// \brief Records that the server did not run the request.
+  static void RecordNotRun(const PlacementQuery& query, ServerLoad* server);
+  /// \brief Records that the answer of the server is overdue.
+  /// \param elapsed time since the request was sent.
+  void RecordOverdue(const PlacementQuery& query,
+                     ServerLoad* server,
+                     absl::Duration elapsed,
+                     absl::Time now) const;
+
   /// \brief Records the work time of an answer. The server must have had a free
   /// slot when the request was sent.
   /// \param work processing time: time from request to answer minus the network
@@ -121,6 +147,11 @@
           demand,
       absl::Time now);
 
+  /// \brief Replaces the plans by those of another instance of this region.
+  void AdoptPlans(absl::Span<const PlannedShare> shares);
+  /// \returns the current plans of all services.
+  std::vector<PlannedShare> PlannedShares() const;
+
   /// \returns the requests that this instance has in flight, by HeartbeatKey()
   /// of the backend server; servers without requests are omitted.
   std::vector<std::pair<uint32_t, int>> OwnLoads() const;
@@ -164,8 +195,9 @@
     /// Whether the service has recently received requests of a more urgent
     /// route.
     bool has_urgent_requests = false;
-    /// The preferred server of the object; nullptr if no server is preferred.
-    const ServerLoad* preferred = nullptr;
+    /// The ranked servers of the object, the preferred server first. Empty if
+    /// the servers do not cache the object.
+    absl::InlinedVector<const ServerLoad*, 2 * kRankedServers> ranked;
   };
 
   struct Candidate {
@@ -199,9 +231,8 @@
                                absl::Time now) const;
   static Candidate EvaluateCandidate(const PlacementContext& context,
                                      const Server& server);
-  const ServerLoad* PreferredServer(const PlacementQuery& query,
-                                    absl::Span<const Server> servers,
-                                    absl::Time now) const;
+  void RankServers(absl::Span<const Server> servers,
+                   PlacementContext* context) const;
 
   ZoneMap* zones_;
   std::string self_;
@@ -210,6 +241,8 @@
   std::vector<Server> servers_;  ///< Sorted by id.
   absl::flat_hash_map<std::string, std::vector<Server>> servers_by_service_;
   std::vector<InstanceRecord> instances_;
+  /// Sum of the CPU shares of the live instances by region.
+  std::map<std::string, double, std::less<>> cpu_share_by_region_;
   /// Cached results of ColdRequestRate() by server hash; cleared when
   /// instances, servers or the configuration change.
   absl::flat_hash_map<uint32_t, int64_t> cold_request_rates_;
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -40,9 +40,11 @@
         hooks_.log(absl::StrCat(line, " revision=", applied_revision_));
       }),
       sources_(self_),
-      relay_(&mirror_, [this](PeerCallId id, control::StoreAnswer answer) {
-        hooks_.answer_peer(id, std::move(answer));
-      }) {}
+      relay_(&mirror_,
+             [this](PeerCallId id,
+                    std::shared_ptr<const control::StoreAnswer> answer) {
+               hooks_.answer_peer(id, std::move(answer));
+             }) {}
 
 void GatewayControl::Call(CallOwner owner, control::StoreRequest request) {
   control::StoreCall call;
@@ -69,6 +71,8 @@
       return "register";
     case CallOwner::kWatchProbe:
       return "probe-watch";
+    case CallOwner::kInstanceRead:
+      return "read-instances";
     case CallOwner::kCrashLease:
     case CallOwner::kCrashReport:
       break;
@@ -82,6 +86,7 @@
     Call(CallOwner::kRegistration, std::move(*call));
   }
   CheckWatch(now);
+  ReadInstances(now);
   ReadState(now);
   registry_.OnTick(now);
   PublishIfChanged();
@@ -112,8 +117,50 @@
   reader_.CancelCall(now);
 }
 
+void GatewayControl::ReadInstances(absl::Time now) {
+  first_tick_ = std::min(first_tick_, now);
+  const bool is_registered = registration_.is_registered() ||
+                             now - first_tick_ >= kMaxRegistrationWait;
+  const bool is_due = instance_reads_ == 0 || is_registered;
+  if (has_read_instances_ || is_instance_read_pending_ || !is_due) {
+    return;
+  }
+  is_instance_read_pending_ = true;
+  ++instance_reads_;
+  control::StoreRange range;
+  range.prefix = std::string(kInstancePrefix);
+  // The records only decide where to read the state, so they may be old.
+  range.allow_stale = true;
+  Call(CallOwner::kInstanceRead, std::move(range));
+}
+
+void GatewayControl::OnInstanceRead(const control::StoreAnswer& answer) {
+  is_instance_read_pending_ = false;
+  std::map<std::string, InstanceRecord> records;
+  bool has_peers_in_region = false;
+  for (const control::StoreKeyValue& item : answer.key_values) {
+    const std::optional<StateChange> change = hooks_.decode(item);
+    const auto* written =
+        change ? std::get_if<InstanceWritten>(&*change) : nullptr;
+    if (written == nullptr) {
+      continue;
+    }
+    const InstanceRecord& record = written->instance;
+    has_peers_in_region =
+        has_peers_in_region ||
+        (record.region == self_.region && record.name != self_.name);
+    records[item.key] = record;
+  }
+  const bool is_read = answer.status == control::StoreStatus::kOk;
+  // An instance that sees no other instance of its region may be one of many
+  // that start at the same time. It looks again when it is registered itself.
+  has_read_instances_ =
+      !is_read || has_peers_in_region || instance_reads_ >= kMaxInstanceReads;
+  sources_.SetInstances(records);
+}
+
 void GatewayControl::ReadState(absl::Time now) {
-  if (!reader_.IsDue(now)) {
+  if (!has_read_instances_ || !reader_.IsDue(now)) {
     return;
   }
   UseSource(sources_.Choose(now));
@@ -135,12 +182,13 @@
   reader_source_ = source;
   const bool serves_followers =
       sources_.is_reader() && sources_.has_followers();
-  registration_.SetRenewalInterval(serves_followers
-                                       ? Registration::kReaderRenewalInterval
-                                       : Registration::kRenewalInterval);
   if (!reader_source_.is_store()) {
+    registration_.SetRenewalInterval(Registration::kFollowerRenewalInterval);
     reader_.SetCallTiming(kPeerCallTiming);
   } else {
+    registration_.SetRenewalInterval(serves_followers
+                                         ? Registration::kReaderRenewalInterval
+                                         : Registration::kRenewalInterval);
     reader_.SetCallTiming(serves_followers ? kReaderCallTiming
                                            : StateReader::CallTiming{});
   }
@@ -150,9 +198,11 @@
   if (reader_.is_store_unreachable()) {
     return StateRelay::State::kStoreUnreachable;
   }
-  const bool serves =
-      reader_source_.is_store() && reader_.has_complete_read() && !is_leaving_;
-  return serves ? StateRelay::State::kServing : StateRelay::State::kNotReading;
+  if (!reader_source_.is_store() || is_leaving_) {
+    return StateRelay::State::kNotReading;
+  }
+  return reader_.has_complete_read() ? StateRelay::State::kServing
+                                     : StateRelay::State::kStarting;
 }
 
 void GatewayControl::OnPeerRevision(int64_t revision, absl::Time now) {
@@ -247,6 +297,8 @@
     OnStoreProbe(is_reachable, now);
   } else if (owner == CallOwner::kWatchProbe) {
     watch_probe_.OnAnswer(answer, now);
+  } else if (owner == CallOwner::kInstanceRead) {
+    OnInstanceRead(answer);
   } else if (owner == CallOwner::kCrashLease) {
     if (answer.status == control::StoreStatus::kOk) {
       WriteCrashReports(answer.lease);
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -62,6 +62,14 @@
   static constexpr StateReader::CallTiming kPeerCallTiming{
       absl::Milliseconds(500), absl::Milliseconds(100)};
 
+  /// Maximum number of reads of the instances' records before the first read of
+  /// the state.
+  static constexpr int kMaxInstanceReads = 2;
+  /// Maximum time for which an instance that starts alone in its region waits
+  /// for its own record before it reads the instances' records again.
+  static constexpr absl::Duration kMaxRegistrationWait =
+      absl::Milliseconds(300);
+
   struct Hooks {
     /// Decodes a key of the store; returns nullopt for keys that are not
     /// relevant to this instance.
@@ -74,7 +82,8 @@
     /// OnStoreAnswer().
     std::function<void(const Endpoint&, control::StoreCall)> call_peer;
     /// Sends the answer to a call that was passed to OnPeerCall().
-    std::function<void(PeerCallId, control::StoreAnswer)> answer_peer;
+    std::function<void(PeerCallId, std::shared_ptr<const control::StoreAnswer>)>
+        answer_peer;
     /// Called when a call that was passed to call_store or call_peer has been
     /// answered or has timed out.
     std::function<void(absl::string_view kind, control::StoreStatus)>
@@ -107,12 +116,17 @@
     kReader,
     kRegistration,
     kWatchProbe,
+    kInstanceRead,
     kCrashLease,
     kCrashReport
   };
 
   void Call(CallOwner owner, control::StoreRequest request);
   absl::string_view CallName(CallOwner owner) const;
+  /// \brief Reads the records of the instances, which decide whether this
+  /// instance reads the state from the store or from another instance.
+  void ReadInstances(absl::Time now);
+  void OnInstanceRead(const control::StoreAnswer& answer);
   void ReadState(absl::Time now);
   void UseSource(const StateSource& source);
   /// \brief Sends the watch again if its answer was lost.
@@ -157,6 +171,10 @@
   absl::Time behind_peers_since_ = absl::InfiniteFuture();
   absl::Time last_read_ = absl::InfinitePast();
   int64_t applied_revision_ = 0;  ///< Revision of the last applied change.
+  absl::Time first_tick_ = absl::InfiniteFuture();
+  int instance_reads_ = 0;
+  bool is_instance_read_pending_ = false;
+  bool has_read_instances_ = false;
   bool has_complete_read_ = false;
   bool is_leaving_ = false;
   bool is_changed_ = false;
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -6,7 +6,8 @@
 namespace baobabwall::gateway {
 namespace internal {
 
-constexpr size_t kFieldCount = 9;
+constexpr size_t kFieldCount = 10;
+constexpr size_t kPlannedShareFields = 3;
 
 /// \returns a flat list of the pairs, which is the format of the message.
 nlohmann::json Flatten(absl::Span<const std::pair<uint32_t, int>> pairs) {
@@ -27,10 +28,31 @@
   return pairs;
 }
 
+nlohmann::json Flatten(absl::Span<const PlannedShare> shares) {
+  nlohmann::json flat = nlohmann::json::array();
+  for (const PlannedShare& share : shares) {
+    flat.push_back(share.service);
+    flat.push_back(share.region);
+    flat.push_back(share.permille);
+  }
+  return flat;
+}
+
+std::vector<PlannedShare> UnflattenShares(const nlohmann::json& flat) {
+  std::vector<PlannedShare> shares;
+  for (size_t i = 0; i + kPlannedShareFields <= flat.size();
+       i += kPlannedShareFields) {
+    shares.push_back({flat[i].get<uint32_t>(), flat[i + 1].get<uint32_t>(),
+                      flat[i + 2].get<int>()});
+  }
+  return shares;
+}
+
 }  // namespace internal
 
 std::vector<uint8_t> Heartbeat::Encode(LoadReport load_report) const {
   const bool has_loads = load_report == LoadReport::kIncluded;
+  const nlohmann::json none = nlohmann::json::array();
   const nlohmann::json message = {
       instance,
       incarnation,
@@ -39,8 +61,9 @@
       is_leaving,
       is_active,
       state_revision,
-      has_loads ? internal::Flatten(loads) : nlohmann::json::array(),
-      internal::Flatten(demand)};
+      has_loads ? internal::Flatten(loads) : none,
+      internal::Flatten(demand),
+      has_loads ? internal::Flatten(planned_shares) : none};
   return nlohmann::json::to_msgpack(message);
 }
 
@@ -61,6 +84,7 @@
     heartbeat.state_revision = message[6].get<int64_t>();
     heartbeat.loads = internal::Unflatten(message[7]);
     heartbeat.demand = internal::Unflatten(message[8]);
+    heartbeat.planned_shares = internal::UnflattenShares(message[9]);
     return heartbeat;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -11,6 +11,19 @@
 
 namespace baobabwall::gateway {
 
+/// \brief Share of the requests of a region's callers to one service that a
+/// region plan assigns to one region.
+struct PlannedShare {
+  uint32_t service = 0;  ///< Balancer::HeartbeatKey() of the service.
+  uint32_t region = 0;   ///< Balancer::HeartbeatKey() of the region.
+  int permille = 0;
+
+  bool operator==(const PlannedShare& other) const {
+    return service == other.service && region == other.region &&
+           permille == other.permille;
+  }
+};
+
 /// \brief The state that an instance sends to the other instances several times
 /// per second, in one datagram.
 struct Heartbeat {
@@ -31,11 +44,14 @@
   /// service, in 1/1000 slots.
   std::vector<std::pair<uint32_t, int>> demand;
 
+  /// Region plans of the instance for the callers of its region.
+  std::vector<PlannedShare> planned_shares;
+
   /// Limits the size of a datagram to an Ethernet frame.
   static constexpr size_t kMaxLoads = 120;
 
-  /// Whether `loads` is part of the message. Most instances of a large fleet
-  /// place no requests and do not need the loads.
+  /// Whether `loads` and `planned_shares` are part of the message. Most
+  /// instances of a large fleet place no requests and do not need them.
   enum class LoadReport { kIncluded, kOmitted };
 
   /// \returns the heartbeat encoded as MessagePack.
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -258,6 +258,22 @@
   return demand;
 }
 
+absl::Span<const PlannedShare> PeerTable::LeaderShares(absl::Time now) const {
+  for (const Peer& peer : peers_) {
+    if (peer.record.name >= self_) {
+      break;
+    }
+    const bool is_leader = peer.record.region == own_region_ &&
+                           peer.last_heartbeat.is_active &&
+                           !peer.last_heartbeat.planned_shares.empty() &&
+                           now - peer.last_heartbeat_received_at <= kMaxLoadAge;
+    if (is_leader) {
+      return peer.last_heartbeat.planned_shares;
+    }
+  }
+  return {};
+}
+
 absl::flat_hash_map<uint32_t, int> PeerTable::Loads(absl::Time now) const {
   absl::flat_hash_map<uint32_t, int> loads;
   for (const Peer& peer : peers_) {
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -97,6 +97,12 @@
   std::map<std::string, absl::flat_hash_map<uint32_t, double>> Demand(
       absl::Time now) const;
 
+  /// \returns the region plans of the first instance of this region by name
+  /// that has requests; empty if this instance is the first. All instances of a
+  /// region follow the same plans, so that they send an object to the same
+  /// server.
+  absl::Span<const PlannedShare> LeaderShares(absl::Time now) const;
+
   /// \returns the newest store revision that another instance has reported.
   int64_t newest_revision() const { return newest_revision_; }
 
--- a/packages/gateway/src/region_plan.cc
+++ b/packages/gateway/src/region_plan.cc
@@ -6,7 +6,12 @@
 namespace baobabwall::gateway {
 namespace internal {
 
-using Loads = std::map<std::string, RegionLoad, std::less<>>;
+/// Own shares are planned in multiples of this share, so that small changes of
+/// the demand move no objects.
+constexpr double kShareQuantum = 1.0 / 16;
+
+/// Minimum change of a share that moves objects away from a region.
+constexpr double kMinMovedShare = 0.02;
 
 double PlannedCapacity(const RegionLoad& load) {
   return load.capacity * RegionPlan::kPlannedCapacityRatio;
@@ -24,7 +29,7 @@
 
 }  // namespace internal
 
-RegionPlan::Shares RegionPlan::TargetShares(const internal::Loads& loads,
+RegionPlan::Shares RegionPlan::TargetShares(const Loads& loads,
                                             absl::string_view own_region) {
   Shares shares;
   double overflow = 0;
@@ -52,22 +57,76 @@
   return shares;
 }
 
-void RegionPlan::Update(const internal::Loads& loads) {
-  const auto target = TargetShares(loads, own_region_);
-  if (shares_.empty()) {
-    shares_ = target;
-    return;
+RegionPlan::Loads RegionPlan::WithPeakDemand(const Loads& loads,
+                                             absl::Time now) {
+  const bool is_first = updated_at_ == absl::InfinitePast();
+  const double decay =
+      is_first
+          ? 0
+          : std::exp(-absl::FDivDuration(now - updated_at_, kPeakDecayTime));
+  updated_at_ = now;
+  double capacity = 0;
+  double cpu_share = 0;
+  for (const auto& [region, load] : loads) {
+    capacity += load.capacity;
+    cpu_share += load.cpu_share;
+  }
+  Loads with_peaks = loads;
+  for (auto& [region, load] : with_peaks) {
+    double& peak = peak_demand_[region];
+    if (is_first && cpu_share > 0) {
+      peak = kInitialLoadRatio * capacity * load.cpu_share / cpu_share;
+    }
+    peak = std::max(load.demand, peak * (is_first ? 1 : decay));
+    load.demand = peak;
+  }
+  return with_peaks;
+}
+
+bool RegionPlan::UsesRegionWithoutCapacity(const Loads& loads) const {
+  return std::any_of(
+      shares_.begin(), shares_.end(), [&loads](const auto& share) {
+        const auto load = loads.find(share.first);
+        return share.second > 0 &&
+               (load == loads.end() || load->second.capacity <= 0);
+      });
+}
+
+double RegionPlan::NextStep(const Shares& target, absl::Time now) {
+  const auto own = target.find(own_region_);
+  const double own_target = own == target.end() ? 0 : own->second;
+  const double own_change = own_target - Share(own_region_);
+  if (own_change < kMinReturnedShare) {
+    can_return_since_ = absl::InfiniteFuture();
+  } else {
+    can_return_since_ = std::min(can_return_since_, now);
+  }
+  if (now - can_return_since_ >= kReturnDelay) {
+    return kMaxReturnStep;
+  }
+  if (own_change >= internal::kMinMovedShare) {
+    return 0;
   }
+  const bool is_moved =
+      std::any_of(target.begin(), target.end(), [this](const auto& share) {
+        return std::abs(share.second - Share(share.first)) >=
+               internal::kMinMovedShare;
+      });
+  return is_moved ? kMaxShareStep : 0;
+}
+
+void RegionPlan::MoveTowards(const Shares& target, double max_step) {
   Shares next;
   double total = 0;
-  for (const auto& [region, load] : loads) {
-    const auto found_target = target.find(region);
-    const double target_share =
-        found_target == target.end() ? 0 : found_target->second;
-    const double current_share = Share(region);
-    const double share = std::clamp(target_share, current_share - kMaxShareStep,
-                                    current_share + kMaxShareStep);
+  for (const auto& [region, current] : shares_) {
+    next.emplace(region, 0);
+  }
+  for (const auto& [region, share] : target) {
     next[region] = share;
+  }
+  for (auto& [region, share] : next) {
+    const double current = Share(region);
+    share = std::clamp(share, current - max_step, current + max_step);
     total += share;
   }
   for (auto& [region, share] : next) {
@@ -76,6 +135,25 @@
   shares_ = std::move(next);
 }
 
+void RegionPlan::Update(const Loads& loads, absl::Time now) {
+  const Loads with_peaks = WithPeakDemand(loads, now);
+  Shares target = TargetShares(with_peaks, own_region_);
+  const double own_share = target[own_region_];
+  const double planned_share =
+      std::ceil(own_share / internal::kShareQuantum) * internal::kShareQuantum;
+  if (own_share < 1) {
+    for (auto& [region, share] : target) {
+      share *= (1 - planned_share) / (1 - own_share);
+    }
+    target[own_region_] = planned_share;
+  }
+  if (shares_.empty() || UsesRegionWithoutCapacity(loads)) {
+    shares_ = std::move(target);
+    return;
+  }
+  MoveTowards(target, NextStep(target, now));
+}
+
 bool RegionPlan::TakeSignificantChange() {
   const bool is_significant =
       std::any_of(shares_.begin(), shares_.end(), [this](const auto& share) {
--- a/packages/gateway/src/region_plan.h
+++ b/packages/gateway/src/region_plan.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 #include "absl/types/span.h"
 
 namespace baobabwall::gateway {
@@ -16,6 +16,9 @@
 struct RegionLoad {
   double demand = 0;    ///< Request rate of its callers times the work time.
   double capacity = 0;  ///< Slots of its usable backend servers.
+  /// CPU shares of its instances. Until the demand is measured, it is assumed
+  /// to be distributed like them.
+  double cpu_share = 0;
 };
 
 /// \brief Distributes the requests from the callers of one region to one
@@ -25,18 +28,36 @@
 /// the overflow goes to regions with spare capacity. An object keeps its region
 /// while the shares are unchanged. When a share changes, only the objects at
 /// the boundary of the share move, so that servers keep their cached objects.
-/// Shares change in small steps, because a large change would send many
+///
+/// A moved object costs a run on a server that has not cached it, which takes
+/// longer than many round trips to another region. The plan therefore follows
+/// the peaks of the demand, and requests return to the own region late and
+/// slowly. Shares change in small steps, because a large change would send many
 /// requests to servers that have not cached the objects.
 class RegionPlan {
  public:
   /// Share of the requests by region, 0 to 1.
   using Shares = std::map<std::string, double, std::less<>>;
+  using Loads = std::map<std::string, RegionLoad, std::less<>>;
 
   /// Fraction of the capacity that is used for planning; the rest absorbs load
   /// fluctuations.
   static constexpr double kPlannedCapacityRatio = 0.9;
+  /// Demand of all regions that is assumed at the start, as a fraction of the
+  /// capacity of all regions. While no server has cached any object, even a
+  /// moderate load needs this many slots.
+  static constexpr double kInitialLoadRatio = 0.5;
+  /// Time constant with which a past peak of the demand is forgotten.
+  static constexpr absl::Duration kPeakDecayTime = absl::Minutes(5);
   /// Maximum change of a share in one update.
   static constexpr double kMaxShareStep = 0.025;
+  /// Maximum change of a share in one update when requests return to the own
+  /// region.
+  static constexpr double kMaxReturnStep = 0.005;
+  /// Requests return if the own region can take this much more of the share
+  /// for kReturnDelay.
+  static constexpr double kMinReturnedShare = 0.15;
+  static constexpr absl::Duration kReturnDelay = absl::Seconds(10);
   /// Minimum change of a share that is logged.
   static constexpr double kMinLoggedShareChange = 0.1;
 
@@ -44,7 +65,11 @@
       : own_region_(std::move(own_region)) {}
 
   /// \param loads loads of all regions by region name.
-  void Update(const std::map<std::string, RegionLoad, std::less<>>& loads);
+  void Update(const Loads& loads, absl::Time now);
+
+  /// \brief Replaces the shares by those of another instance of the region, so
+  /// that all instances send an object to the same server.
+  void Adopt(Shares shares) { shares_ = std::move(shares); }
 
   /// \param hash hash of the object.
   /// \param allowed names of the allowed regions; empty if all are allowed.
@@ -64,16 +89,25 @@
 
   /// \returns the shares that match the loads, independent of the current
   /// shares.
-  static Shares TargetShares(
-      const std::map<std::string, RegionLoad, std::less<>>& loads,
-      absl::string_view own_region);
+  static Shares TargetShares(const Loads& loads, absl::string_view own_region);
 
  private:
+  /// \returns the loads with the recent peak of each region's demand.
+  Loads WithPeakDemand(const Loads& loads, absl::Time now);
+  bool UsesRegionWithoutCapacity(const Loads& loads) const;
+  /// \returns the step towards the target; 0 if the shares stay.
+  double NextStep(const Shares& target, absl::Time now);
+  void MoveTowards(const Shares& target, double max_step);
+
   std::string own_region_;
   /// Share by region. This instance's region is assigned the lowest part of the
   /// hash range.
   Shares shares_;
   Shares last_logged_shares_;  ///< Shares at the last significant change.
+  std::map<std::string, double, std::less<>> peak_demand_;  ///< By region.
+  absl::Time updated_at_ = absl::InfinitePast();
+  /// Time since which the own region can take more requests.
+  absl::Time can_return_since_ = absl::InfiniteFuture();
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/registration.h
+++ b/packages/gateway/src/registration.h
@@ -18,10 +18,13 @@
 /// also serve to detect whether the store is reachable.
 class Registration {
  public:
-  /// Lease duration. Three renewals in a row can fail before the record
-  /// expires.
-  static constexpr absl::Duration kLeaseDuration = absl::Seconds(8);
+  /// Lease duration. Two renewals in a row can fail before the record expires,
+  /// also with the longest renewal interval.
+  static constexpr absl::Duration kLeaseDuration = absl::Seconds(12);
   static constexpr absl::Duration kRenewalInterval = absl::Seconds(2);
+  /// Renewal interval of an instance that reads from another instance, which
+  /// tells it whether the store is reachable.
+  static constexpr absl::Duration kFollowerRenewalInterval = absl::Milliseconds(3500);
   /// Renewal interval of an instance from which others read. The interval is
   /// shorter because the other instances depend on this one to detect that the
   /// store is unreachable.
--- a/packages/gateway/src/state_mirror.h
+++ b/packages/gateway/src/state_mirror.h
@@ -32,6 +32,8 @@
   /// OnChange().
   void OnRevision(int64_t revision) { revision_ = revision; }
 
+  int64_t revision() const { return revision_; }
+
   /// \returns an answer with all keys that exist.
   control::StoreAnswer Range() const;
 
--- a/packages/gateway/src/state_relay.cc
+++ b/packages/gateway/src/state_relay.cc
@@ -1,42 +1,23 @@
 #include "gateway/src/state_relay.h"
 
-#include <optional>
 #include <utility>
 
 namespace baobabwall::gateway {
 namespace internal {
 
-/// Maximum size of an answer. A reader sends an answer to tens of followers at
-/// once, and its link may have only 10 Mbit/s. Followers read larger changes
-/// from the store.
-constexpr size_t kMaxAnswerBytes = 32 * 1024;
-
-bool IsTooLarge(const control::StoreAnswer& answer) {
-  size_t bytes = 0;
-  for (const control::StoreKeyValue& item : answer.key_values) {
-    bytes += item.key.size() + item.value.size();
-  }
-  return bytes > kMaxAnswerBytes;
-}
-
-control::StoreAnswer EmptyAnswer(control::StoreStatus status) {
-  control::StoreAnswer answer;
-  answer.status = status;
+std::shared_ptr<const control::StoreAnswer> EmptyAnswer(
+    control::StoreStatus status) {
+  auto answer = std::make_shared<control::StoreAnswer>();
+  answer->status = status;
   return answer;
 }
 
-/// \returns the answer, or status kNotFound if the answer is too large.
-control::StoreAnswer NotFoundIfTooLarge(control::StoreAnswer answer) {
-  return IsTooLarge(answer) ? EmptyAnswer(control::StoreStatus::kNotFound)
-                            : std::move(answer);
-}
-
 }  // namespace internal
 
 StateRelay::StateRelay(const StateMirror* mirror, Answer answer)
     : mirror_(mirror), answer_callback_(std::move(answer)) {}
 
-control::StoreAnswer StateRelay::RefusalAnswer() const {
+StateRelay::SharedAnswer StateRelay::RefusalAnswer() const {
   return internal::EmptyAnswer(state_ == State::kStoreUnreachable
                                    ? control::StoreStatus::kRefused
                                    : control::StoreStatus::kNotFound);
@@ -45,46 +26,74 @@
 void StateRelay::OnCall(PeerCallId id,
                         const control::StoreRequest& request,
                         absl::Time now) {
-  if (state_ != State::kServing) {
-    answer_callback_(id, RefusalAnswer());
-    return;
-  }
-  if (std::holds_alternative<control::StoreRange>(request)) {
-    answer_callback_(id, internal::NotFoundIfTooLarge(mirror_->Range()));
-    return;
-  }
   const auto* watch = std::get_if<control::StoreWatch>(&request);
-  if (watch == nullptr) {
+  const bool is_read =
+      watch != nullptr || std::holds_alternative<control::StoreRange>(request);
+  if (!is_read) {
     answer_callback_(id,
                      internal::EmptyAnswer(control::StoreStatus::kNotFound));
     return;
   }
-  pending_watches_[id] = {watch->after_revision, now + watch->timeout};
-  OnTick(state_, now);
+  PendingCall call;
+  call.deadline = now + (watch == nullptr ? kMaxRangeWait : watch->timeout);
+  if (watch != nullptr) {
+    call.after_revision = watch->after_revision;
+  }
+  if (SharedAnswer answer = AnswerTo(call, now)) {
+    answer_callback_(id, std::move(answer));
+    return;
+  }
+  pending_calls_[id] = call;
+}
+
+StateRelay::SharedAnswer StateRelay::Read(
+    std::optional<int64_t> after_revision) {
+  if (answers_revision_ != mirror_->revision()) {
+    answers_.clear();
+    answers_revision_ = mirror_->revision();
+  }
+  const auto known = answers_.find(after_revision);
+  if (known != answers_.end()) {
+    return known->second;
+  }
+  SharedAnswer answer;
+  if (!after_revision) {
+    answer = std::make_shared<const control::StoreAnswer>(mirror_->Range());
+  } else if (auto changes = mirror_->ChangesAfter(*after_revision)) {
+    answer = std::make_shared<const control::StoreAnswer>(*std::move(changes));
+  }
+  answers_.emplace(after_revision, answer);
+  return answer;
+}
+
+StateRelay::SharedAnswer StateRelay::AnswerTo(const PendingCall& call,
+                                              absl::Time now) {
+  const bool is_expired = now >= call.deadline;
+  if (state_ == State::kStarting && !is_expired) {
+    return nullptr;
+  }
+  if (state_ != State::kServing) {
+    return RefusalAnswer();
+  }
+  if (SharedAnswer answer = Read(call.after_revision)) {
+    return answer;
+  }
+  return is_expired ? std::make_shared<const control::StoreAnswer>(
+                          mirror_->NoChangeAnswer())
+                    : nullptr;
 }
 
 void StateRelay::OnTick(State state, absl::Time now) {
   state_ = state;
-  for (auto next = pending_watches_.begin(); next != pending_watches_.end();) {
-    const auto watch = next++;
-    std::optional<control::StoreAnswer> answer;
-    if (state_ == State::kServing) {
-      answer = mirror_->ChangesAfter(watch->second.after_revision);
-      if (answer) {
-        answer = internal::NotFoundIfTooLarge(*std::move(answer));
-      }
-    } else {
-      answer = RefusalAnswer();
-    }
-    if (!answer && now >= watch->second.deadline) {
-      answer = mirror_->NoChangeAnswer();
-    }
-    if (!answer) {
+  for (auto next = pending_calls_.begin(); next != pending_calls_.end();) {
+    const auto call = next++;
+    SharedAnswer answer = AnswerTo(call->second, now);
+    if (answer == nullptr) {
       continue;
     }
-    const PeerCallId id = watch->first;
-    pending_watches_.erase(watch);
-    answer_callback_(id, std::move(*answer));
+    const PeerCallId id = call->first;
+    pending_calls_.erase(call);
+    answer_callback_(id, std::move(answer));
   }
 }
 
--- a/packages/gateway/src/state_relay.h
+++ b/packages/gateway/src/state_relay.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 
 #include "absl/time/time.h"
 #include "control/control.h"
@@ -18,12 +20,22 @@
 ///
 /// Calls are answered only while this instance reads the store itself.
 /// Otherwise a call is answered with kNotFound, or with kRefused if the store
-/// is unreachable. Does no I/O.
+/// is unreachable. While this instance reads all keys of the store for the
+/// first time, calls wait: when a whole fleet starts, its instances would
+/// otherwise all read the store. Does no I/O.
 class StateRelay {
  public:
-  enum class State { kNotReading, kStoreUnreachable, kServing };
+  enum class State { kNotReading, kStarting, kStoreUnreachable, kServing };
 
-  using Answer = std::function<void(PeerCallId, control::StoreAnswer)>;
+  /// Receives the answer to a call. Calls with the same answer get the same
+  /// object, so that it needs to be encoded only once.
+  using Answer =
+      std::function<void(PeerCallId,
+                         std::shared_ptr<const control::StoreAnswer>)>;
+
+  /// Maximum time that a range waits for the first complete read. Below the
+  /// timeout of the caller.
+  static constexpr absl::Duration kMaxRangeWait = absl::Milliseconds(450);
 
   StateRelay(const StateMirror* mirror, Answer answer);
 
@@ -32,24 +44,35 @@
   void OnCall(PeerCallId id,
               const control::StoreRequest& request,
               absl::Time now);
-  void OnCallerDisconnected(PeerCallId id) { pending_watches_.erase(id); }
+  void OnCallerDisconnected(PeerCallId id) { pending_calls_.erase(id); }
 
-  /// \brief Answers the watches that have changes to return and the watches
-  /// whose timeout has expired.
+  /// \brief Answers the calls that have something to return and the calls whose
+  /// timeout has expired.
   void OnTick(State state, absl::Time now);
 
  private:
-  struct PendingWatch {
-    int64_t after_revision = 0;
+  struct PendingCall {
+    /// Revision after which a watch reports changes; nullopt for a range.
+    std::optional<int64_t> after_revision;
     absl::Time deadline;
   };
 
-  control::StoreAnswer RefusalAnswer() const;
+  using SharedAnswer = std::shared_ptr<const control::StoreAnswer>;
+
+  SharedAnswer RefusalAnswer() const;
+  /// \returns the answer to the call; nullptr if the call must wait.
+  SharedAnswer AnswerTo(const PendingCall& call, absl::Time now);
+  /// \returns the answer with all keys or with the changes after a revision;
+  /// nullptr if there are no changes.
+  SharedAnswer Read(std::optional<int64_t> after_revision);
 
   const StateMirror* mirror_;
   Answer answer_callback_;
   State state_ = State::kNotReading;
-  std::map<PeerCallId, PendingWatch> pending_watches_;
+  std::map<PeerCallId, PendingCall> pending_calls_;
+  /// Answers at the mirror's current revision, by after_revision.
+  std::map<std::optional<int64_t>, SharedAnswer> answers_;
+  int64_t answers_revision_ = -1;  ///< Revision of the mirror for answers_.
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/state_sources.cc
+++ b/packages/gateway/src/state_sources.cc
@@ -44,6 +44,12 @@
     names.push_back(name);
   }
   control::SortByReaderRank(region, &names);
+  // The instances with the largest CPU share come first, because a reader
+  // serves many followers.
+  std::stable_sort(names.begin(), names.end(),
+                   [&members](const std::string& a, const std::string& b) {
+                     return members.at(a).cpu_share > members.at(b).cpu_share;
+                   });
   // The best instance of each zone comes first, because a zone may fail as a
   // whole.
   std::map<std::string, size_t> in_zone;
--- a/packages/gateway/src/state_sources.h
+++ b/packages/gateway/src/state_sources.h
@@ -33,7 +33,7 @@
   static constexpr size_t kMaxDirectInstances = 8;
   static constexpr size_t kMinReaders = 2;
   /// One reader is added per this number of instances in a region.
-  static constexpr size_t kInstancesPerReader = 64;
+  static constexpr size_t kInstancesPerReader = 128;
   /// Time for which a failed source is avoided while other sources are
   /// available.
   static constexpr absl::Duration kFailureAvoidTime = absl::Seconds(4);
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -141,6 +141,7 @@
                      SteeringActions* actions) {
   const BackendServer& server = placement.server->server();
   placement.server->OnRequestStart(now);
+  Balancer::RecordStart(MakeQuery(*request), placement.server.get(), now);
   Attempt& attempt = request->attempt;
   attempt.id = ++last_attempt_id_;
   attempt.server = placement.server;
@@ -188,6 +189,11 @@
   if (end.connect_time) {
     zones_->RecordRoundTrip(server->server().zone, *end.connect_time);
   }
+  const bool is_run = end.result != AttemptResult::kConnectFailed &&
+                      end.result != AttemptResult::kRefused;
+  if (!is_run) {
+    Balancer::RecordNotRun(MakeQuery(request), server);
+  }
   if (end.is_other_server) {
     RecordUnreachable(request, now);
     return;
@@ -474,6 +480,9 @@
                          SteeringActions* actions) {
   const bool was_in_progress = request->attempt.id != 0;
   request->may_have_run = request->may_have_run || was_in_progress;
+  if (was_in_progress) {
+    RecordOverdue(*request, now);
+  }
   AbortCurrentAttempt(request, now, actions);
   if (request->is_caller_disconnected) {
     FinishRequest(request, 0, "caller-gone", absl::ZeroDuration(), now);
@@ -484,6 +493,11 @@
                 "timeout", now, actions);
 }
 
+void Steering::RecordOverdue(const Request& request, absl::Time now) {
+  balancer_.RecordOverdue(MakeQuery(request), request.attempt.server.get(),
+                          now - request.attempt.start, now);
+}
+
 void Steering::ReplaceAttempt(Request* request,
                               absl::Time now,
                               SteeringActions* actions) {
@@ -495,7 +509,7 @@
   if (next.server == nullptr) {
     return;
   }
-  request->attempt.server->RecordOutcome(true, now);
+  RecordOverdue(*request, now);
   AbortCurrentAttempt(request, now, actions);
   ++request->sent_attempts;
   request->may_have_run = true;
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -163,6 +163,8 @@
   /// budget. If no retry is possible, the placement has no server, and the
   /// reason is stored in the record of the last attempt.
   Placement ChooseRetryServer(Request* request, absl::Time now);
+  /// \brief Records that the answer to the current attempt is overdue.
+  void RecordOverdue(const Request& request, absl::Time now);
   /// \brief Replaces the current attempt if its answer is overdue.
   void ReplaceAttempt(Request* request,
                       absl::Time now,
--- a/packages/gateway/src/zone_map.cc
+++ b/packages/gateway/src/zone_map.cc
@@ -34,6 +34,15 @@
       .first->second;
 }
 
+std::set<std::string> ZoneMap::Regions() const {
+  std::set<std::string> regions;
+  for (const auto& [name, zone] : zones_) {
+    regions.insert(zone.region);
+  }
+  regions.erase("");
+  return regions;
+}
+
 absl::string_view ZoneMap::RegionOf(absl::string_view zone) const {
   const auto found = zones_.find(zone);
   return found == zones_.end() ? absl::string_view() : found->second.region;
--- a/packages/gateway/src/zone_map.h
+++ b/packages/gateway/src/zone_map.h
@@ -2,6 +2,7 @@
 #define GATEWAY_SRC_ZONE_MAP_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -42,6 +43,9 @@
   const std::string& own_zone() const { return own_zone_; }
   const std::string& own_region() const { return own_region_; }
 
+  /// \returns the names of all regions.
+  std::set<std::string> Regions() const;
+
   /// \returns the region of the zone; an empty string if the zone is unknown.
   absl::string_view RegionOf(absl::string_view zone) const;
 
--- a/test/relay_codec_test.cc
+++ b/test/relay_codec_test.cc
@@ -5,6 +5,9 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "absl/strings/str_cat.h"
+#include "base/base.h"
+#include "edge/src/deflate.h"
 #include "mutate.h"
 
 namespace baobabwall::edge {
@@ -40,6 +43,71 @@
   }
 }
 
+/// Returns the state of a fleet of 295 instances and 1,212 servers.
+StoreAnswer MakeLargeState() {
+  StoreAnswer answer;
+  answer.status = StoreStatus::kOk;
+  base::Random random(1);
+  for (int i = 0; i < 1507; ++i) {
+    const std::string id = absl::StrCat(absl::Hex(random.Below(1ULL << 40)));
+    answer.key_values.push_back(
+        {absl::StrCat("servers/i-", id),
+         absl::StrCat(R"({"service":"disponible","address":"10.2.)", i / 250,
+                      ".", i % 250, R"(:8641","zone":"cuyo-godoy",)",
+                      R"("version":"v1","capacity_slots":5,"state":"ready",)",
+                      R"("warmup_left_ms":0,"sequence":)", random.Below(1000),
+                      R"(,"born":)", 1'780'000'000'000 + random.Below(100'000),
+                      "}"),
+         i, false});
+  }
+  return answer;
+}
+
+// Guards against followers whose transfers of a large answer queue up on the
+// link of a small reader (hunt 41296322, big_config), and against a fleet whose
+// state is too large to be read from another instance.
+TEST_CASE("large answers are compressed or left to the store") {
+  const HttpResponse state = EncodeRelayAnswer(MakeLargeState());
+  CHECK(state.body().size() <= kMaxRelayAnswerBytes);
+  CHECK(DecodeRelayAnswer(state).key_values.size() == 1507);
+  StoreAnswer config = MakeAnswer();
+  base::Random random(1);
+  std::string& value = config.key_values[0].value;
+  while (value.size() < 300'000) {
+    value.push_back(static_cast<char>(random.Below(256)));
+  }
+  const StoreAnswer refused = DecodeRelayAnswer(EncodeRelayAnswer(config));
+  CHECK(refused.status == StoreStatus::kNotFound);
+  CHECK(refused.key_values.empty());
+}
+
+// Guards against an answer that was encoded for another call.
+TEST_CASE("an encoder repeats only the same answer") {
+  RelayAnswerEncoder encoder;
+  const auto first = std::make_shared<const StoreAnswer>(MakeLargeState());
+  const auto second = std::make_shared<const StoreAnswer>(MakeAnswer());
+  for (int i = 0; i < 2; ++i) {
+    CHECK(DecodeRelayAnswer(encoder.Encode(first)).key_values.size() == 1507);
+    CHECK(DecodeRelayAnswer(encoder.Encode(second)).key_values.size() == 2);
+  }
+}
+
+// Guards against crashes caused by malformed compressed data, and against data
+// that needs all memory when it is decompressed.
+TEST_CASE("malformed or oversized compressed answers are rejected") {
+  const std::string compressed = Deflate(std::string(20 * 1024 * 1024, 'x'));
+  CHECK(compressed.size() < kMaxRelayAnswerBytes);
+  CHECK_FALSE(Inflate(compressed).has_value());
+  const std::string small = Deflate("some text, some text");
+  CHECK(Inflate(small) == "some text, some text");
+  CHECK_FALSE(Inflate(small.substr(0, small.size() / 2)).has_value());
+  CHECK(rc::check([] {
+    HttpResponse response = EncodeRelayAnswer(MakeLargeState());
+    response.body() = test::Mutate(response.body());
+    DecodeRelayAnswer(response);  // Must not crash.
+  }));
+}
+
 // Guards against encoded requests that differ from the original call.
 TEST_CASE("encoded requests keep their revision and timeout") {
   control::StoreWatch watch;
