--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -122,10 +122,15 @@
   const bool is_registered = registration_.is_registered() ||
                              now - first_tick_ >= kMaxRegistrationWait;
   const bool is_due = instance_reads_ == 0 || is_registered;
+  if (is_instance_read_pending_ &&
+      now - instance_read_sent_at_ >= kMaxInstanceReadTime) {
+    has_read_instances_ = true;
+  }
   if (has_read_instances_ || is_instance_read_pending_ || !is_due) {
     return;
   }
   is_instance_read_pending_ = true;
+  instance_read_sent_at_ = now;
   ++instance_reads_;
   control::StoreRange range;
   range.prefix = std::string(kInstancePrefix);
@@ -136,6 +141,9 @@
 
 void GatewayControl::OnInstanceRead(const control::StoreAnswer& answer) {
   is_instance_read_pending_ = false;
+  if (has_read_instances_) {
+    return;
+  }
   std::map<std::string, InstanceRecord> records;
   bool has_peers_in_region = false;
   for (const control::StoreKeyValue& item : answer.key_values) {
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -65,6 +65,10 @@
   /// Maximum number of reads of the instances' records before the first read of
   /// the state.
   static constexpr int kMaxInstanceReads = 2;
+  /// Maximum duration of such a read. If the store answers slowly, the state is
+  /// read from the store at once, because callers wait for it.
+  static constexpr absl::Duration kMaxInstanceReadTime =
+      absl::Milliseconds(150);
   /// Maximum time for which an instance that starts alone in its region waits
   /// for its own record before it reads the instances' records again.
   static constexpr absl::Duration kMaxRegistrationWait =
@@ -185,6 +189,7 @@
   absl::Time last_store_contact_ = absl::InfinitePast();
   int64_t applied_revision_ = 0;  ///< Revision of the last applied change.
   absl::Time first_tick_ = absl::InfiniteFuture();
+  absl::Time instance_read_sent_at_ = absl::InfinitePast();
   int instance_reads_ = 0;
   bool is_instance_read_pending_ = false;
   bool has_read_instances_ = false;
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -406,6 +406,14 @@
                          kStart + GatewayControl::kMaxRegistrationWait);
     CHECK(c.peer_calls.size() == 1);
   }
+  SECTION("the store is slow") {
+    c.control.OnTick(kStart + GatewayControl::kMaxInstanceReadTime);
+    CHECK(std::any_of(c.calls.begin(), c.calls.end(), [](const auto& call) {
+      return ControlFixture::IsRead(call.request);
+    }));
+    c.AnswerInstanceRead(LargeRegion(), kStart + absl::Seconds(1));
+    CHECK(c.peer_calls.empty());
+  }
   SECTION("the store refuses the read") {
     c.AnswerInstanceRead(Failed(StoreStatus::kRefused), kStart);
     CHECK(std::any_of(c.calls.begin(), c.calls.end(), [](const auto& call) {
