Keep what is known of caches after a refusal, and bound heartbeats

Cause (found by reading the change): an attempt that a full server refused made the instance forget that the server had cached the object long before. Heartbeats with the plans of many services could exceed the receive buffer of 2,048 bytes. Change: only an object that was not known to be cached is forgotten. At most 60 planned shares are sent, and the receive buffer has the size of the largest heartbeat (4,096 bytes; a test builds it). Answers are parsed eagerly, as before they were read part by part.

--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -171,6 +171,7 @@
     Parser& parser = pending_read_->parser.emplace();
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(kMaxAnswerBytes);
+    parser.eager(true);
     parser.skip(request_->method() == http::verb::head);
     SetBufferedBytes(0);
     ReadSome();
--- a/packages/edge/src/peer_channel.h
+++ b/packages/edge/src/peer_channel.h
@@ -25,8 +25,6 @@
             absl::Span<const gateway::PeerTable::Receiver> receivers);
 
  private:
-  static constexpr size_t kMaxDatagramBytes = 2048;
-
   void Receive();
   void SendTo(const gateway::Endpoint& receiver,
               absl::Span<const uint8_t> datagram);
@@ -34,7 +32,7 @@
   HeartbeatCallback on_heartbeat_;
   udp::socket socket_;
   udp::endpoint sender_;
-  std::array<uint8_t, kMaxDatagramBytes> receive_buffer_;
+  std::array<uint8_t, gateway::Heartbeat::kMaxEncodedBytes> receive_buffer_;
 };
 
 }  // namespace baobabwall::edge
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -333,12 +333,15 @@
   return {chosen->load, best.load, absl::Seconds(best.expected_s), {}};
 }
 
-void Balancer::RecordStart(const PlacementQuery& query,
+bool Balancer::RecordStart(const PlacementQuery& query,
                            ServerLoad* server,
                            absl::Time now) {
-  if (query.has_affinity) {
-    server->cached_objects().Add(query.object, now);
+  if (!query.has_affinity) {
+    return false;
   }
+  const bool was_cached = server->cached_objects().Has(query.object, now);
+  server->cached_objects().Add(query.object, now);
+  return was_cached;
 }
 
 void Balancer::RecordNotRun(const PlacementQuery& query, ServerLoad* server) {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -114,10 +114,12 @@
 
   /// \brief Records that the request is sent to the server, which caches its
   /// object from the start of the work.
-  static void RecordStart(const PlacementQuery& query,
+  /// \returns whether the object was already known to be cached.
+  static bool RecordStart(const PlacementQuery& query,
                           ServerLoad* server,
                           absl::Time now);
-  /// \brief Records that the server did not run the request.
+  /// \brief Records that the server did not run the request, whose object was
+  /// not known to be cached before.
   static void RecordNotRun(const PlacementQuery& query, ServerLoad* server);
   /// \brief Records that the answer of the server is overdue.
   /// \param elapsed time since the request was sent.
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -30,7 +30,8 @@
 
 nlohmann::json Flatten(absl::Span<const PlannedShare> shares) {
   nlohmann::json flat = nlohmann::json::array();
-  for (const PlannedShare& share : shares) {
+  for (const PlannedShare& share :
+       shares.first(std::min(shares.size(), Heartbeat::kMaxPlannedShares))) {
     flat.push_back(share.service);
     flat.push_back(share.region);
     flat.push_back(share.permille);
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -47,8 +47,11 @@
   /// Region plans of the instance for the callers of its region.
   std::vector<PlannedShare> planned_shares;
 
-  /// Limits the size of a datagram to an Ethernet frame.
+  /// Maximum numbers of entries that are sent, which limit the size of a
+  /// datagram to kMaxEncodedBytes.
   static constexpr size_t kMaxLoads = 120;
+  static constexpr size_t kMaxPlannedShares = 60;
+  static constexpr size_t kMaxEncodedBytes = 4096;
 
   /// Whether `loads` and `planned_shares` are part of the message. Most
   /// instances of a large fleet place no requests and do not need them.
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -141,12 +141,13 @@
                      SteeringActions* actions) {
   const BackendServer& server = placement.server->server();
   placement.server->OnRequestStart(now);
-  Balancer::RecordStart(MakeQuery(*request), placement.server.get(), now);
   Attempt& attempt = request->attempt;
   attempt.id = ++last_attempt_id_;
   attempt.server = placement.server;
   attempt.start = now;
   attempt.had_free_slot = placement.load + 1 <= server.slots;
+  attempt.was_cached =
+      Balancer::RecordStart(MakeQuery(*request), attempt.server.get(), now);
   request->tried_servers.push_back(server.id);
   AttemptRecord& record = request->attempt_records.emplace_back();
   record.server = server.id;
@@ -191,7 +192,7 @@
   }
   const bool is_run = end.result != AttemptResult::kConnectFailed &&
                       end.result != AttemptResult::kRefused;
-  if (!is_run) {
+  if (!is_run && !request.attempt.was_cached) {
     Balancer::RecordNotRun(MakeQuery(request), server);
   }
   if (end.is_other_server) {
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -113,6 +113,8 @@
     absl::Time start;
     /// Whether the server had a free slot at the start.
     bool had_free_slot = false;
+    /// Whether the server was known to have cached the object before the start.
+    bool was_cached = false;
   };
 
   struct BrokenAttempt {
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -576,6 +576,22 @@
   }));
 }
 
+// Guards against a datagram that the receiver cuts off: a deployment with many
+// services and servers.
+TEST_CASE("the largest heartbeat fits into a datagram") {
+  Heartbeat heartbeat;
+  heartbeat.instance = std::string(64, 'n');
+  heartbeat.incarnation = 1'780'000'000'000;
+  heartbeat.sequence = 1ULL << 40;
+  heartbeat.state_revision = 1LL << 40;
+  for (uint32_t i = 0; i < 500; ++i) {
+    heartbeat.loads.emplace_back(0xffffff00 + i % 256, 100'000);
+    heartbeat.demand.emplace_back(0xffffff00 + i % 256, 100'000);
+    heartbeat.planned_shares.push_back({0xffffff00, 0xffffff00, 1000});
+  }
+  CHECK(heartbeat.Encode().size() <= Heartbeat::kMaxEncodedBytes);
+}
+
 // Guards against cold servers that get more requests from all instances
 // together than they tolerate.
 TEST_CASE(
