--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -424,11 +424,11 @@
 // 295 instances, each of them dropped all instances of the other zones shortly
 // after the start, and divided the retry budget by the rest.
 TEST_CASE("idle zones of a large fleet stay live by their representatives") {
-  constexpr int kZones = 9;
-  constexpr int kInstances = 270;
+  constexpr int zone_count = 9;
+  constexpr int instance_count = 270;
   std::vector<InstanceRecord> records;
-  for (int i = 0; i < kInstances; ++i) {
-    const std::string zone = absl::StrCat("z-", i % kZones);
+  for (int i = 0; i < instance_count; ++i) {
+    const std::string zone = absl::StrCat("z-", i % zone_count);
     records.push_back(Instance(absl::StrCat("p-", i), zone, "a"));
   }
   std::vector<PeerTable> tables;
@@ -455,10 +455,10 @@
     }
   }
   for (const PeerTable& table : tables) {
-    CHECK(table.Live(end).size() == kInstances - 1);
+    CHECK(table.Live(end).size() == instance_count - 1);
   }
   // Each instance receives less than 100 heartbeats per second.
-  CHECK(late_messages < 100 * kInstances * 10);
+  CHECK(late_messages < 100 * instance_count * 10);
 }
 
 // Guards against a lookup that returns a failed instance for longer than
