Return from the store to a reader when the reader can be asked again

An instance that starts may ask a reader that has not read the state yet, avoids it for 4 s, and watches the store instead; that watch waits for up to 25 s if nothing changes. Change: while the store only replaces a reader that can be asked again, its watch is cancelled and the reader is asked.

--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -87,6 +87,7 @@
   }
   CheckWatch(now);
   ReadInstances(now);
+  ReturnToPreferredSource(now);
   ReadState(now);
   registry_.OnTick(now);
   PublishIfChanged();
@@ -167,6 +168,16 @@
   sources_.SetInstances(records);
 }
 
+void GatewayControl::ReturnToPreferredSource(absl::Time now) {
+  const bool waits_at_store = reader_.is_pending() &&
+                              reader_.has_complete_read() &&
+                              reader_source_.is_store();
+  if (waits_at_store && !sources_.Choose(now).is_store()) {
+    watch_probe_.OnWatchEnded();
+    reader_.CancelCall(now);
+  }
+}
+
 void GatewayControl::ReadState(absl::Time now) {
   if (!has_read_instances_ || !reader_.IsDue(now)) {
     return;
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -142,6 +142,9 @@
   void ReadInstances(absl::Time now);
   void OnInstanceRead(const control::StoreAnswer& answer);
   void ReadState(absl::Time now);
+  /// \brief Leaves the store if it is only the replacement of an instance that
+  /// can be read from again. The watch at the store may wait for a long time.
+  void ReturnToPreferredSource(absl::Time now);
   void UseSource(const StateSource& source);
   /// \brief Sends the watch again if its answer was lost.
   void CheckWatch(absl::Time now);
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -397,6 +397,24 @@
     CHECK(c.view->config->version() == 7);
     CHECK(c.view->revision == 9);
   }
+  SECTION("the instance returns to a reader that has refused") {
+    c.AnswerInstanceRead(LargeRegion(), kStart);
+    // All readers refuse, because none of them has read the state yet.
+    while (!c.peer_calls.empty()) {
+      StoreAnswer refusal = Failed(StoreStatus::kNotFound);
+      refusal.id = c.peer_calls.back().second.id;
+      c.peer_calls.pop_back();
+      c.control.OnStoreAnswer(refusal, kStart);
+    }
+    StoreAnswer state = LargeRegion();
+    c.AnswerReader(state, kStart);
+    c.control.OnTick(kStart + absl::Seconds(1));
+    CHECK(c.peer_calls.empty());
+    c.control.OnTick(kStart + StateSources::kFailureAvoidTime);
+    REQUIRE(c.peer_calls.size() == 1);
+    CHECK(std::holds_alternative<control::StoreWatch>(
+        c.peer_calls[0].second.request));
+  }
   SECTION("the instance looks again when it is registered itself") {
     c.AnswerInstanceRead(Ok(1), kStart);
     c.control.OnTick(kStart);
