--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -129,13 +129,30 @@
   return fd;
 }
 
+// Returns a port that is free for TCP and UDP. It lies below the range from
+// which the system takes the ports of connections.
 inline int FreePort() {
-  int port = 0;
-  const int fd = Listen(&port);
-  if (fd >= 0) {
-    close(fd);
+  static int last_port = 12000 + getpid() % 9000;
+  while (true) {
+    last_port = last_port >= 31000 ? 12000 : last_port + 1;
+    int port = last_port;
+    const int tcp = Listen(&port);
+    if (tcp < 0) {
+      continue;
+    }
+    const int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    const bool is_free = bind(udp, reinterpret_cast<sockaddr*>(&address),
+                              sizeof(address)) == 0;
+    close(udp);
+    close(tcp);
+    if (is_free) {
+      return port;
+    }
   }
-  return port;
 }
 
 inline int Connect(int port, int receive_buffer = 0) {
@@ -861,6 +878,34 @@
   std::atomic<int> running_{0};
 };
 
+// The processes that a case has started and that haven't ended. Read by a signal
+// handler.
+constexpr int kMaxProcesses = 64;
+inline std::atomic<pid_t>* Processes() {
+  static std::atomic<pid_t> processes[kMaxProcesses];
+  return processes;
+}
+inline void ReplaceProcess(pid_t from, pid_t to) {
+  for (int i = 0; i < kMaxProcesses; ++i) {
+    pid_t expected = from;
+    if (Processes()[i].compare_exchange_strong(expected, to)) {
+      return;
+    }
+  }
+}
+
+// Ends the case and all processes that it has started.
+[[noreturn]] inline void Exit(int code) {
+  for (int i = 0; i < kMaxProcesses; ++i) {
+    const pid_t pid = Processes()[i];
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+      waitpid(pid, nullptr, 0);
+    }
+  }
+  _exit(code);
+}
+
 // A process of the product, started with the command of the deploy file.
 class Gateway {
  public:
@@ -881,6 +926,7 @@
     if (pid_ > 0) {
       kill(pid_, SIGKILL);
       waitpid(pid_, nullptr, 0);
+      ReplaceProcess(pid_, 0);
     }
   }
 
@@ -923,6 +969,9 @@
     const bool is_started = posix_spawn(&pid_, argv[0], &actions, nullptr,
                                         argv.data(), environ) == 0;
     posix_spawn_file_actions_destroy(&actions);
+    if (is_started) {
+      ReplaceProcess(0, pid_);
+    }
     return is_started;
   }
 
@@ -949,13 +998,6 @@
   }
 
   void Signal(int signal) const { kill(pid_, signal); }
-  bool HasEnded() {
-    if (pid_ > 0 && waitpid(pid_, &exit_status_, WNOHANG) == pid_) {
-      pid_ = 0;
-    }
-    return pid_ == 0;
-  }
-  int exit_status() const { return exit_status_; }
   pid_t pid() const { return pid_; }
   int callers() const { return callers_; }
   const std::string& name() const { return place_.name; }
@@ -970,7 +1012,6 @@
   int lookups_ = 0;
   int peers_ = 0;
   int metrics_ = 0;
-  int exit_status_ = 0;
   pid_t pid_ = 0;
 };
 
@@ -1054,6 +1095,9 @@
 
 inline Arguments ReadArguments(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
+  Processes();
+  signal(SIGTERM, [](int) { Exit(kCouldNotRun); });
+  signal(SIGINT, [](int) { Exit(kCouldNotRun); });
   Now();
   if (argc != 4) {
     fprintf(stderr, "usage: CASE-FOLDER TEMPORARY-FOLDER PROGRAM\n");
