--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -13,10 +13,11 @@
 constexpr double kWork = 0.48;  // of a room availability look-up
 constexpr double kTimeout = 1.5;  // timeout_ms of the route
 constexpr int kDeadlineMs = 2500;
-constexpr int kClients = 150;
-// Each client asks for the next room while the answer to the last question is
-// on its way. Times differ a little from client to client.
-constexpr double kPause = kWork + 0.002;
+constexpr int kClients = 80;  // of each instance
+// Each client asks for the next room when the answer to the last question is
+// due. Times differ a little from client to client.
+constexpr int kPauseSteps = 15;
+constexpr double kPauseStep = 0.0002;
 constexpr char kService[] = "disponible";
 
 struct Sent {
@@ -31,7 +32,10 @@
 class Client {
  public:
   Client(int port, int number, double first_at)
-      : port_(port), number_(number), first_at_(first_at) {}
+      : port_(port),
+        number_(number),
+        first_at_(first_at),
+        pause_(kWork + kPauseStep * (number % kPauseSteps)) {}
 
   // Runs until the connection ends.
   void Run(double until) {
@@ -66,7 +70,7 @@
  private:
   void Send(double until) {
     for (int i = 0; !is_ended_; ++i) {
-      SleepUntil(first_at_ + i * kPause);
+      SleepUntil(first_at_ + i * pause_);
       if (is_ended_ || Now() > until) {
         return;
       }
@@ -86,6 +90,7 @@
   int port_;
   int number_;
   double first_at_;
+  double pause_;
   int fd_ = -1;
   std::atomic<bool> is_ended_{false};
   std::mutex mutex_;
@@ -107,7 +112,7 @@
   Arrivals arrivals;
   std::vector<std::unique_ptr<Upstream>> upstreams;
   for (const auto& [zone, region] : Zones()) {
-    for (int i = 0; i < 6; ++i) {
+    for (int i = 0; i < 8; ++i) {
       Upstream::Options options;
       options.id = "i-" + std::to_string(upstreams.size());
       options.service = kService;
@@ -126,25 +131,38 @@
   int broken = 0;
   int stops = 0;
   for (int round = 0; round < 6; ++round) {
-    Gateway gateway({"edge-amba-palermo-1", "amba-palermo"}, arguments.program,
-                    arguments.temporary_folder);
-    if (!gateway.Start(front->port(), Zones()) || !gateway.WaitReady()) {
-      Exit(kCouldNotRun);
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (const char* zone : {"amba-palermo", "cuyo-godoy", "litoral-centro"}) {
+      gateways.push_back(std::make_unique<Gateway>(
+          Gateway::Place{std::string("edge-") + zone + "-1", zone},
+          arguments.program, arguments.temporary_folder));
+      if (!gateways.back()->Start(front->port(), Zones())) {
+        Exit(kCouldNotRun);
+      }
+    }
+    for (const auto& gateway : gateways) {
+      if (!gateway->WaitReady()) {
+        record.Line("%s isn't ready", gateway->name().c_str());
+        Exit(kCouldNotRun);
+      }
     }
     const double first_at = Now() + 0.2;
     const double stop_at = first_at + kContact + 1 + 0.05 * round;
-    const double until = stop_at + kGrace + 1;
+    const double until = stop_at + kGrace + 1.5;
     std::vector<std::unique_ptr<Client>> clients;
     std::vector<std::thread> threads;
-    for (int c = 0; c < kClients; ++c) {
+    const int client_count = kClients * static_cast<int>(gateways.size());
+    for (int c = 0; c < client_count; ++c) {
       clients.push_back(std::make_unique<Client>(
-          gateway.callers(), round * 1000 + c, first_at + 0.00002 * c));
+          gateways[c / kClients]->callers(), round * 1000 + c,
+          first_at + 0.00002 * (c % kClients)));
       threads.emplace_back([&clients, c, until] { clients[c]->Run(until); });
     }
-    SleepUntil(stop_at);
-    if (arguments.has_trouble) {
-      gateway.Signal(SIGTERM);
-      record.Line("round %d: SIGTERM at %.3f s", round, stop_at);
+    for (size_t g = 0; g < gateways.size() && arguments.has_trouble; ++g) {
+      SleepUntil(stop_at + 0.17 * g);
+      gateways[g]->Signal(SIGTERM);
+      record.Line("round %d: SIGTERM to %s", round,
+                  gateways[g]->name().c_str());
       ++stops;
     }
     SleepUntil(until);
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -132,7 +132,7 @@
 // Returns a port that is free for TCP and UDP. It lies below the range from
 // which the system takes the ports of connections.
 inline int FreePort() {
-  static int last_port = 12000 + getpid() % 9000;
+  static int last_port = 12000 + getpid() * 131 % 18000;
   while (true) {
     last_port = last_port >= 31000 ? 12000 : last_port + 1;
     int port = last_port;
