--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -96,14 +96,13 @@
   for (size_t i = 0; i < text.size(); i += 3) {
     uint32_t bits = 0;
     for (size_t k = 0; k < 3; ++k) {
-      bits = bits << 8 | (i + k < text.size()
-                              ? static_cast<unsigned char>(text[i + k])
-                              : 0);
+      bits =
+          bits << 8 |
+          (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0);
     }
     for (size_t k = 0; k < 4; ++k) {
-      encoded.push_back(i + k > text.size() ? '='
-                                            : kAlphabet[bits >> (18 - 6 * k) &
-                                                        63]);
+      encoded.push_back(
+          i + k > text.size() ? '=' : kAlphabet[bits >> (18 - 6 * k) & 63]);
     }
   }
   return encoded;
@@ -145,8 +144,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(static_cast<uint16_t>(port));
-    const bool is_free = bind(udp, reinterpret_cast<sockaddr*>(&address),
-                              sizeof(address)) == 0;
+    const bool is_free =
+        bind(udp, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     close(udp);
     close(tcp);
     if (is_free) {
@@ -190,7 +189,7 @@
 
 // A request or an answer.
 struct Message {
-  std::string start;  // first line
+  std::string start;                           // first line
   std::map<std::string, std::string> headers;  // names in lower case
   std::string body;
 
@@ -203,9 +202,7 @@
     const size_t begin = start.find(' ') + 1;
     return start.substr(begin, start.find(' ', begin) - begin);
   }
-  int status() const {
-    return start.size() > 12 ? atoi(start.c_str() + 9) : 0;
-  }
+  int status() const { return start.size() > 12 ? atoi(start.c_str() + 9) : 0; }
 };
 
 // Reads messages from a connection.
@@ -317,8 +314,10 @@
  public:
   using Serve = std::function<void(int fd)>;
 
-  bool Start(Serve serve) {
+  // port: 0 for any free port.
+  bool Start(Serve serve, int port = 0) {
     serve_ = std::move(serve);
+    port_ = port;
     listen_fd_ = Listen(&port_);
     if (listen_fd_ < 0) {
       return false;
@@ -451,7 +450,9 @@
     std::map<int, double> idle_since_;
   };
 
-  Store() { std::thread([this] { ExpireLeases(); }).detach(); }
+  Store() {
+    std::thread([this] { ExpireLeases(); }).detach();
+  }
 
   // Opens a way to the store. Returns nullptr if there is no port.
   // one_way_s: time that a call needs to the store, and its answer back.
@@ -597,12 +598,12 @@
       if (!events.empty() || Now() >= end) {
         break;
       }
-      changed_.wait_for(lock, std::chrono::duration<double>(
-                                  std::min(0.1, end - Now())));
+      changed_.wait_for(
+          lock, std::chrono::duration<double>(std::min(0.1, end - Now())));
     }
-    return HttpAnswer(200, "Content-Type: application/json\r\n",
-                      json{{"events", events}, {"current_rev", revision_}}
-                          .dump());
+    return HttpAnswer(
+        200, "Content-Type: application/json\r\n",
+        json{{"events", events}, {"current_rev", revision_}}.dump());
   }
 
   std::string Handle(const Message& request,
@@ -723,10 +724,9 @@
       }
       bits = bits << 6 | static_cast<uint32_t>(value);
       if (++count % 4 != 1) {
-        decoded.push_back(
-            static_cast<char>(bits >> (count % 4 == 0 ? 0
-                                       : count % 4 == 3 ? 2
-                                                        : 4)));
+        decoded.push_back(static_cast<char>(bits >> (count % 4 == 0   ? 0
+                                                     : count % 4 == 3 ? 2
+                                                                      : 4)));
       }
     }
     return decoded;
@@ -785,6 +785,7 @@
     int queue = 9;
     double work_s = 0.2;
     size_t answer_bytes = 400;
+    int64_t born = 1790000000000;  // Unix millisecond of the start
   };
   // Answers a request in place of the usual answer; empty text for the usual
   // one.
@@ -793,9 +794,11 @@
   Upstream(Options options, Arrivals* arrivals)
       : options_(std::move(options)), arrivals_(arrivals) {}
 
-  bool Start() {
-    return server_.Start([this](int fd) { Serve(fd); });
+  // port: 0 for any free port.
+  bool Start(int port = 0) {
+    return server_.Start([this](int fd) { Serve(fd); }, port);
   }
+  int port() const { return server_.port(); }
   void Stop() { server_.Stop(); }
   void SetOverride(Override override_answer) {
     override_ = std::move(override_answer);
@@ -811,7 +814,7 @@
                 {"state", state},
                 {"warmup_left_ms", 0},
                 {"sequence", 1},
-                {"born", 1790000000000}}
+                {"born", options_.born}}
         .dump();
   }
   std::string Stamp(const std::string& id) const {
@@ -846,10 +849,8 @@
     }
     if (running_ >= options_.slots + options_.queue) {
       arrivals_->Add({id, Now(), options_.id, false, Now(), ""});
-      return SendAll(fd, HttpAnswer(503,
-                                    AnswerHeaders(id) +
-                                        "X-Not-Executed: 1\r\n",
-                                    ""));
+      return SendAll(
+          fd, HttpAnswer(503, AnswerHeaders(id) + "X-Not-Executed: 1\r\n", ""));
     }
     const size_t index =
         arrivals_->Add({id, Now(), options_.id, true, 0, request.body});
@@ -878,8 +879,8 @@
   std::atomic<int> running_{0};
 };
 
-// The processes that a case has started and that haven't ended. Read by a signal
-// handler.
+// The processes that a case has started and that haven't ended. Read by a
+// signal handler.
 constexpr int kMaxProcesses = 64;
 inline std::atomic<pid_t>* Processes() {
   static std::atomic<pid_t> processes[kMaxProcesses];
@@ -1033,7 +1034,8 @@
 };
 
 // A configuration with one host, h.example.
-inline std::string Config(int version, const std::vector<RouteOptions>& routes) {
+inline std::string Config(int version,
+                          const std::vector<RouteOptions>& routes) {
   json paths = json::array();
   std::set<std::string> names;
   for (const RouteOptions& route : routes) {
