--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-constexpr double kGrace = 6.0;  // grace_s
+constexpr double kGrace = 6.0;    // grace_s
 constexpr double kContact = 4.0;  // contact_ms
-constexpr double kWork = 0.48;  // of a room availability look-up
+constexpr double kWork = 0.48;    // of a room availability look-up
 constexpr double kTimeout = 1.5;  // timeout_ms of the route
 constexpr int kDeadlineMs = 2500;
 constexpr int kClients = 80;  // of each instance
@@ -22,8 +22,8 @@
 
 struct Sent {
   double at = 0;
-  double ended = 0;   // end of its connection, if there was no answer
-  int status = 0;     // 0: the connection ended without an answer
+  double ended = 0;  // end of its connection, if there was no answer
+  int status = 0;    // 0: the connection ended without an answer
   bool is_written = false;
 };
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -71,9 +71,9 @@
     const char* zone = number % 2 == 0 ? "cuyo-godoy" : "litoral-centro";
     instance.front = store.AddFront(kRegionDelay);
     instance.gateway = std::make_unique<Gateway>(
-        Gateway::Place{std::string("edge-") + zone + "-" +
-                           std::to_string(number / 2 + 1),
-                       zone},
+        Gateway::Place{
+            std::string("edge-") + zone + "-" + std::to_string(number / 2 + 1),
+            zone},
         arguments.program, arguments.temporary_folder);
     ++number;
     if (instance.front == nullptr ||
@@ -160,8 +160,7 @@
   }
   while (arguments.has_trouble && Now() < kEnd - 8) {
     for (size_t g = 0; g < instances.size(); ++g) {
-      if (Now() < next_reset[g] ||
-          instances[g].front->idle_connections() < 2) {
+      if (Now() < next_reset[g] || instances[g].front->idle_connections() < 2) {
         continue;
       }
       const int count = instances[g].front->ResetIdle();
@@ -198,8 +197,8 @@
     // request was sent on.
     bool is_in_touch = true;
     for (const double reset : instance.resets) {
-      is_in_touch = is_in_touch && (reset > arrival.at ||
-                                    request.at - reset > kContact);
+      is_in_touch =
+          is_in_touch && (reset > arrival.at || request.at - reset > kContact);
     }
     record.Line(
         "request %s from %s reached %s %.3f s after its entry was removed%s; "
@@ -215,9 +214,10 @@
   for (const auto& [status, count] : statuses) {
     record.Line("%d bookings ended with %d", count, status);
   }
-  record.Line("%zu upstreams left; %d requests later than drain_ms, %d of them "
-              "without a success",
-              left.size(), late, lost);
+  record.Line(
+      "%zu upstreams left; %d requests later than drain_ms, %d of them "
+      "without a success",
+      left.size(), late, lost);
   printf("late %d, without success %d\n", late, lost);
   fflush(stdout);
   Exit(late > 0 ? kBroken : kHeld);
