Review: the header of the scripts lies beside the cases

Cause: review/common looked like a case without a claim; it held only the header that all scripts share. Change: it is review/harness.h; the scripts include it from there.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -2,7 +2,7 @@
 // requests. A request that the instance passed on to an upstream must be
 // answered.
 
-#include "../common/harness.h"
+#include "../harness.h"
 
 using namespace review;
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -4,7 +4,7 @@
 // reset, requests must not reach an upstream later than drain_ms after the
 // store has acknowledged that its entry is gone.
 
-#include "../common/harness.h"
+#include "../harness.h"
 
 using namespace review;
 
--- a/review/common/harness.h
+++ b/review/harness.h
@@ -2,8 +2,8 @@
 // store, backend servers (upstreams) and clients, on loopback addresses and the
 // real clock. One thread for each connection.
 
-#ifndef REVIEW_COMMON_HARNESS_H_
-#define REVIEW_COMMON_HARNESS_H_
+#ifndef REVIEW_HARNESS_H_
+#define REVIEW_HARNESS_H_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -1112,4 +1112,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_HARNESS_H_
+#endif  // REVIEW_HARNESS_H_
