Handle no input behind the last answer of a connection

Cause: a connection keeps a read pending until it closes. A request that this read returned while the answer with "Connection: close" was being written was passed on; after the write the connection closed. The same input handling ran a request that had been rejected with 408 ("never runs") if its last bytes came before the 408 was sent, and queued a 408 for each tick while an earlier request was unanswered. Change: the connection records that its last answer is chosen (its write begins, a request was rejected, or nothing follows); later input is discarded. Callers know from the closing answer that requests behind it were not read. A request read before that point is answered, since the earlier answer is then not the last. ReadUntil of the test searches only what is new; its result is the same.

--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -74,6 +74,9 @@
       }
       return;
     }
+    if (is_last_answer_chosen_) {
+      return;
+    }
     const gateway::RequestLimits& limits = listener_->limits_;
     if (HasPartialRequest() && !parser_->is_header_done()) {
       if (header_start_ == absl::InfiniteFuture()) {
@@ -107,6 +110,15 @@
     std::shared_ptr<HttpResponse> answer;
   };
 
+  /// \returns whether the received bytes are no valid request. Other errors
+  /// mean that the caller has disconnected.
+  static bool IsParseError(error_code error) {
+    return error.category() ==
+               http::make_error_code(http::error::bad_method).category() &&
+           error != http::error::end_of_stream &&
+           error != http::error::partial_message;
+  }
+
   bool HasPartialRequest() const { return parser_ && parser_->got_some(); }
   bool IsIdle() const {
     return pending_exchanges_.empty() && !HasPartialRequest();
@@ -139,13 +151,8 @@
 
   void OnReadDone(error_code error) {
     is_reading_ = false;
-    if (is_closing_) {
-      // The caller sent these bytes before it received the end of the stream.
-      if (error) {
-        Close();
-      } else {
-        DiscardInput();
-      }
+    if (is_last_answer_chosen_) {
+      OnInputBehindLastAnswer(error);
       return;
     }
     if (!error) {
@@ -157,16 +164,26 @@
       Reject(http::status::request_header_fields_too_large);
     } else if (error == http::error::body_limit) {
       Reject(http::status::payload_too_large);
-    } else if (error.category() ==
-                   http::make_error_code(http::error::bad_method).category() &&
-               error != http::error::end_of_stream &&
-               error != http::error::partial_message) {
+    } else if (IsParseError(error)) {
       Reject(http::status::bad_request);
     } else {
       Close();
     }
   }
 
+  /// Ignores a request that arrived after the connection's last answer was
+  /// chosen. The caller may send the request again, because no request behind
+  /// that answer runs.
+  void OnInputBehindLastAnswer(error_code error) {
+    if (error && !IsParseError(error)) {
+      Close();
+    } else if (is_closing_) {
+      DiscardInput();
+    } else {
+      WaitForClose();
+    }
+  }
+
   void OnRequest() {
     last_activity_ = transport::SteadyNow();
     HttpRequest request = parser_->release();
@@ -192,6 +209,7 @@
   /// closes the connection.
   void Reject(http::status status) {
     is_read_stopped_ = true;
+    is_last_answer_chosen_ = true;
     PendingExchange pending;
     pending.answer = std::make_shared<HttpResponse>(status, 11);
     pending_exchanges_.push_back(std::move(pending));
@@ -237,6 +255,7 @@
     is_writing_ = true;
     const bool is_last_answer =
         is_read_stopped_ && pending_exchanges_.size() == 1;
+    is_last_answer_chosen_ = is_last_answer_chosen_ || is_last_answer;
     pending.answer->version(11);
     pending.answer->keep_alive(!is_last_answer);
     http::async_write(
@@ -273,6 +292,7 @@
   /// connection.
   void StartClosing() {
     is_closing_ = true;
+    is_last_answer_chosen_ = true;
     linger_deadline_ = transport::SteadyNow() + kLingerTime;
     error_code ignored;  // A disconnected caller cannot receive anything.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -320,6 +340,10 @@
   bool is_writing_ = false;
   bool is_read_stopped_ = false;
   bool is_next_request_last_ = false;
+  /// Whether the answer that ends the connection is queued or being written, or
+  /// no further answer follows. A read may still be pending, but a request that
+  /// it returns is not handled.
+  bool is_last_answer_chosen_ = false;
   bool has_sent_answer_ = false;
   bool is_closing_ = false;
   absl::Time last_activity_;
--- a/test/http_listener_test.cc
+++ b/test/http_listener_test.cc
@@ -1,5 +1,6 @@
 #include "edge/src/http_listener.h"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -45,6 +46,13 @@
     return condition();
   }
 
+  /// Runs the event loop for 100 ms, long enough for all data that is on its
+  /// way.
+  void RunBriefly() {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(100));
+  }
+
   std::unique_ptr<tcp::socket> Connect() {
     auto socket = std::make_unique<tcp::socket>(io);
     socket->connect(
@@ -59,21 +67,24 @@
   /// Reads until the text contains `expected` or the connection ends.
   std::string ReadUntil(tcp::socket* socket, const std::string& expected) {
     std::string text;
-    bool is_closed = false;
-    char buffer[4096];
+    bool is_done = false;
+    std::vector<char> buffer(64 * 1024);
     std::function<void()> read = [&] {
       socket->async_read_some(
           asio::buffer(buffer),
           [&](boost::system::error_code error, size_t size) {
-            text.append(buffer, size);
-            is_closed = static_cast<bool>(error);
-            if (!is_closed && !absl::StrContains(text, expected)) {
+            const size_t overlap = std::min(text.size(), expected.size());
+            const size_t search_begin = text.size() - overlap;
+            text.append(buffer.data(), size);
+            is_done =
+                error || text.find(expected, search_begin) != std::string::npos;
+            if (!is_done) {
               read();
             }
           });
     };
     read();
-    RunUntil([&] { return is_closed || absl::StrContains(text, expected); });
+    RunUntil([&] { return is_done; });
     return text;
   }
 
@@ -199,6 +210,46 @@
   }
 }
 
+// Guards against a graceful shutdown that runs a request whose caller gets no
+// answer, because the connection is closed after the answer before it.
+TEST_CASE("a request behind an answer that closes the connection is not read") {
+  ListenerFixture fixture;
+  const auto caller = fixture.Connect();
+  ListenerFixture::Write(caller.get(), Get("/1"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  fixture.listener.StartDraining();
+  // Larger than the buffers of both sockets, so that the next request arrives
+  // while the answer is being written.
+  const std::string large_body(32 * 1024 * 1024, 'x');
+  fixture.Answer(fixture.exchanges[0], large_body + "end");
+  fixture.RunBriefly();
+  ListenerFixture::Write(caller.get(), Get("/2"));
+  fixture.RunBriefly();
+  CHECK(fixture.exchanges.size() == 1);
+  const std::string text = fixture.ReadUntil(caller.get(), "never");
+  CHECK(absl::StrContains(text, "Connection: close"));
+  CHECK(absl::StrContains(text, "xend"));
+  CHECK(fixture.disconnected.empty());
+}
+
+// Guards against a graceful shutdown that leaves a request unanswered although
+// it was read before the end of the connection was announced.
+TEST_CASE("a request that arrives before the last answer is answered too") {
+  ListenerFixture fixture;
+  const auto caller = fixture.Connect();
+  ListenerFixture::Write(caller.get(), Get("/1"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  fixture.listener.StartDraining();
+  ListenerFixture::Write(caller.get(), Get("/2"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 2; }));
+  fixture.Answer(fixture.exchanges[0], "first");
+  fixture.Answer(fixture.exchanges[1], "second");
+  const std::string text = fixture.ReadUntil(caller.get(), "never");
+  CHECK(absl::StrContains(text, "first"));
+  CHECK(text.find("Connection: close") > text.find("first"));
+  CHECK(absl::StrContains(text, "second"));
+}
+
 // Guards against a graceful shutdown that waits for callers without a request,
 // or that closes a new connection before its first request arrives.
 TEST_CASE(
@@ -265,5 +316,28 @@
   CHECK(fixture.ReadUntil(idle_caller.get(), "never").empty());
 }
 
+// Guards against running a request that was already rejected as too slow: 408
+// promises that it never runs.
+TEST_CASE("a request that was rejected with 408 never runs") {
+  ListenerFixture fixture;
+  const auto caller = fixture.Connect();
+  ListenerFixture::Write(caller.get(),
+                         Get("/pipelined") + "GET /slow HTTP/1.1\r\nHo");
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  fixture.RunBriefly();
+  const absl::Time now = transport::SteadyNow();
+  fixture.listener.OnTick(now);
+  fixture.listener.OnTick(now + absl::Seconds(3.1));
+  fixture.listener.OnTick(now + absl::Seconds(3.6));
+  ListenerFixture::Write(caller.get(), "st: h\r\n\r\n");
+  fixture.RunBriefly();
+  CHECK(fixture.targets == std::vector<std::string>{"/pipelined"});
+  fixture.Answer(fixture.exchanges[0], "first");
+  const std::string text = fixture.ReadUntil(caller.get(), "never");
+  CHECK(text.find("HTTP/1.1 408") > text.find("first"));
+  CHECK(absl::StrContains(text, "HTTP/1.1 408"));
+  CHECK(text.find("HTTP/1.1 408") == text.rfind("HTTP/1.1 408"));
+}
+
 }  // namespace
 }  // namespace baobabwall::edge
