Do not take a lost connection for an outage of the store

Cause: a connection to the store that was reset while idle stayed in the pool; the next call on it failed, and any failed call of the reader or failed renewal counted as an outage, after which removed entries are kept for 2.2 s. A watch that is cut while it waits did the same. Change: idle connections are checked before use; an idempotent call whose reused connection is lost, and a watch that had waited for 0.5 s, are sent again on a new connection. Writes and new leases are not repeated. Why it works: an outage is declared only by a call that fails on a connection that was opened for it, is refused or is not answered.

--- a/packages/edge/src/store_link.h
+++ b/packages/edge/src/store_link.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "absl/time/time.h"
 #include "control/control.h"
@@ -14,6 +15,11 @@
 
 /// \brief HTTP client for calls to the store or for state reads from other
 /// instances, on one event loop. Idle connections are reused.
+///
+/// The loss of a connection alone does not fail an idempotent call: the call is
+/// sent again if its connection was idle before, or if it is a watch that was
+/// waiting for changes. A call that fails therefore shows that the destination
+/// cannot be reached or does not answer.
 class StoreLink {
  public:
   struct Timeouts {
@@ -52,6 +58,11 @@
  private:
   class PendingCall;
 
+  /// \returns an idle connection that the destination has not closed; nullopt
+  /// if there is none.
+  std::optional<tcp::socket> TakeIdleConnection(
+      const gateway::Endpoint& destination);
+
   asio::io_context* io_;
   Codec codec_;
   Timeouts timeouts_;
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -26,7 +26,10 @@
                [this](const std::vector<std::string>& keys) {
                  EndCompleteRead(keys);
                },
-               [this] { hooks_.log("store: lost"); },
+               [this] {
+                 hooks_.log(absl::StrCat("store: lost call=", last_call_.name,
+                                         " refused=", last_call_.is_refused));
+               },
                [this] {
                  registry_.OnStoreReachable(now_);
                  hooks_.log("store: returned");
@@ -311,8 +314,10 @@
   }
   const auto [owner, sent_at] = call->second;
   pending_calls_.erase(call);
+  last_call_ = {CallName(owner),
+                answer.status == control::StoreStatus::kRefused};
   if (hooks_.call_ended) {
-    hooks_.call_ended(CallName(owner), answer.status);
+    hooks_.call_ended(last_call_.name, answer.status);
   }
   const bool is_from_peer =
       owner == CallOwner::kReader && !reader_source_.is_store();
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -135,6 +135,11 @@
     absl::Time sent_at;
   };
 
+  struct EndedCall {
+    absl::string_view name;
+    bool is_refused = false;
+  };
+
   void Call(CallOwner owner, control::StoreRequest request);
   absl::string_view CallName(CallOwner owner) const;
   /// \brief Reads the records of the instances, which decide whether this
@@ -174,6 +179,7 @@
   StateRelay relay_;
   absl::flat_hash_map<control::StoreCallId, PendingCall> pending_calls_;
   control::StoreCallId last_call_id_ = 0;
+  EndedCall last_call_;  ///< The call that ended most recently.
   /// Id of the reader's latest call.
   control::StoreCallId reader_call_id_ = 0;
   std::shared_ptr<const RoutingConfig> config_;
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -128,6 +128,46 @@
       absl::Seconds(2.5)));
 }
 
+// Guards against connections to the store that are lost while they are idle or
+// waiting: they were taken for an outage, after which a server whose entry was
+// removed stayed in use.
+TEST_CASE("lost connections to the store do not keep a removed server in use") {
+  constexpr absl::Duration kDrainLimit = absl::Milliseconds(2500);
+  GatewayFleet fleet("lost-connections");
+  LoopbackProxy store(fleet.platform().store_port());
+  fleet.SetStorePort(store.port());
+  fleet.PutConfig(1);
+  fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(1));
+  fleet.platform().AddBackend("i-2", "s", "a-1", absl::Milliseconds(1));
+  fleet.Start("one", "a-1");
+  REQUIRE(fleet.WaitReady("one"));
+  const auto send = [&](const std::string& name) {
+    for (int i = 0; i < 30; ++i) {
+      CHECK(Send(fleet.caller_port("one"), "/read/x",
+                 absl::StrCat("id-", name, i))
+                .status == 200);
+    }
+  };
+  send("before");
+  CHECK(fleet.platform().run_count("i-1") > 0);
+  absl::SleepFor(absl::Seconds(1.5));
+  SECTION("idle connections") {
+    // The watch is answered, so that its connection is idle during the delay
+    // before the next watch.
+    fleet.PutConfig(2);
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+  SECTION("the connection of a watch that waits") {}
+  store.Reset();
+  fleet.platform().Delete("servers/i-1");
+  absl::SleepFor(kDrainLimit);
+  const int runs = fleet.platform().run_count("i-1");
+  send("after");
+  CHECK(fleet.platform().run_count("i-1") == runs);
+  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "store: lost"));
+  CHECK(fleet.LogFindings().empty());
+}
+
 // Guards against an instance that stops serving, or that removes all backend
 // servers, because the store is unreachable.
 TEST_CASE("a store outage does not affect callers") {
