--- a/packages/base/src/log_line.cc
+++ b/packages/base/src/log_line.cc
@@ -118,4 +118,17 @@
   return line;
 }
 
+std::string SanitizeForLog(absl::string_view text) {
+  std::string sanitized(text.substr(0, kMaxLoggedTextLength));
+  for (char& c : sanitized) {
+    const bool is_allowed =
+        absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' ||
+        c == '_' || c == '.';
+    if (!is_allowed) {
+      c = '?';
+    }
+  }
+  return sanitized;
+}
+
 }  // namespace baobabwall::base
--- a/packages/base/src/log_line.h
+++ b/packages/base/src/log_line.h
@@ -26,6 +26,14 @@
 /// \returns nullopt if the text is not a log line of a baobabwall process.
 std::optional<LogLine> ParseLogLine(absl::string_view text);
 
+/// Maximum length of text from outside the process in a log line.
+constexpr size_t kMaxLoggedTextLength = 64;
+
+/// \returns the first kMaxLoggedTextLength characters of the text, with all
+/// characters replaced except letters, digits, '-', '_' and '.', so that text
+/// from outside the process cannot add fields or lines to the log.
+std::string SanitizeForLog(absl::string_view text);
+
 /// \returns the event of a log line, or an empty view if the line has no event.
 absl::string_view EventOfLogLine(absl::string_view text);
 
--- a/packages/edge/src/request_log.cc
+++ b/packages/edge/src/request_log.cc
@@ -52,24 +52,6 @@
   return "unknown";
 }
 
-/// Maximum number of characters of a caller's request id in a log line.
-constexpr size_t kMaxLoggedIdLength = 64;
-
-/// \returns the id with all characters replaced except letters, digits, '-',
-/// '_' and '.', so that a caller cannot inject fields into the log.
-std::string SanitizeRequestId(absl::string_view id) {
-  std::string sanitized(id.substr(0, kMaxLoggedIdLength));
-  for (char& c : sanitized) {
-    const bool is_allowed =
-        absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' ||
-        c == '_' || c == '.';
-    if (!is_allowed) {
-      c = '?';
-    }
-  }
-  return sanitized;
-}
-
 std::string FormatAttempt(const gateway::AttemptRecord& attempt) {
   const std::string load_age_ms =
       attempt.load_age
@@ -94,8 +76,7 @@
     absl::StrAppend(out, internal::FormatAttempt(attempt));
   };
   return absl::StrCat(
-      "route: ended request=",
-      internal::SanitizeRequestId(record.request->caller_id),
+      "route: ended request=", base::SanitizeForLog(record.request->caller_id),
       " route=", record.route, " service=", record.service,
       " object=", absl::Hex(record.request->object),
       " config=", record.config_version, " state=", state_revision,
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -128,6 +128,54 @@
       absl::Seconds(2.5)));
 }
 
+// Guards against an entry of another writer that ends the processes that read
+// it, that is used as a server, or that hides the other entries.
+TEST_CASE("odd entries among the servers do not stop an instance") {
+  GatewayFleet fleet("odd-entries");
+  fleet.PutConfig(1);
+  fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(1));
+  const auto put_odd_entry = [&](const std::string& id,
+                                 const std::string& address,
+                                 const std::string& further_fields) {
+    fleet.platform().Put(
+        absl::StrCat("servers/", id),
+        absl::StrCat(R"({"service":"s","zone":"a-1","state":"ready",)",
+                     R"("address":")", address, "\",", further_fields, "}"));
+  };
+  const auto put_odd_entries = [&](const std::string& suffix) {
+    const std::string deep =
+        absl::StrCat(std::string(300'000, '['), std::string(300'000, ']'));
+    const std::string address = "127.0.0.1:1";
+    put_odd_entry("odd-slots" + suffix, address, R"("capacity_slots":1e300)");
+    put_odd_entry("odd-deep" + suffix, address,
+                  absl::StrCat(R"("capacity_slots":)", deep));
+    put_odd_entry("odd-port" + suffix, "127.0.0.1:70000",
+                  R"("capacity_slots":5)");
+    put_odd_entry("i-2" + suffix, address,
+                  R"("capacity_slots":5,"born":9223372036854775807)");
+    fleet.platform().Put("servers/odd-bytes" + suffix, "\xff\x00[{");
+  };
+  put_odd_entries("");
+  fleet.Start("one", "a-1");
+  REQUIRE(fleet.WaitReady("one"));
+  put_odd_entries("-later");
+  // A proper entry replaces the odd one of the same id.
+  fleet.platform().AddBackend("i-2", "s", "a-1", absl::Milliseconds(1));
+  CHECK(WaitFor([&] {
+    return absl::StrContains(fleet.Log("one"),
+                             "registry: server added server=i-2 ");
+  }));
+  int request_count = 0;
+  CHECK(WaitFor([&] {
+    const std::string id = absl::StrCat("id-", ++request_count);
+    CHECK(Send(fleet.caller_port("one"), "/read/x", id).status == 200);
+    return fleet.platform().run_count("i-2") > 0;
+  }));
+  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "server added server=odd-"));
+  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "paused server=odd-"));
+  CHECK(fleet.LogFindings().empty());
+}
+
 // Guards against connections to the store that are lost while they are idle or
 // waiting: they were taken for an outage, after which a server whose entry was
 // removed stayed in use.
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -1,10 +1,14 @@
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "mutate.h"
 #include "platform/platform.h"
 #include "transport/transport.h"
@@ -104,6 +108,53 @@
       *DecodeStateChange(MakeItem("servers/i-1", entry.dump()))));
 }
 
+// Guards against an entry of another writer that is taken for a server, for
+// example with the start time of a far future, beside which the server's own
+// entry counts as old.
+TEST_CASE("a registry entry with an impossible value names no server") {
+  const auto is_server = [](const std::string& id, const std::string& value) {
+    const auto change = DecodeStateChange(MakeItem("servers/" + id, value));
+    REQUIRE(change.has_value());
+    return std::holds_alternative<gateway::BackendWritten>(*change);
+  };
+  const auto with = [](const std::string& field, const std::string& value) {
+    json entry = json::parse(kServerJson);
+    entry.erase(field);
+    std::string text = entry.dump();
+    text.pop_back();
+    return absl::StrCat(text, ",\"", field, "\":", value, "}");
+  };
+  REQUIRE(is_server("i-1", kServerJson));
+  CHECK(is_server("i-1", with("born", "1780000000000.0")));
+  const std::string very_deep =
+      absl::StrCat(std::string(400'000, '['), std::string(400'000, ']'));
+  const std::map<std::string, std::vector<std::string>> impossible_values = {
+      {"capacity_slots",
+       {"0", "-1", "1e300", "-1e300", "1e999", "4294967301", "true", "2.5",
+        "18446744073709551621", "1000000000", very_deep}},
+      {"born",
+       {"1e300", "1e999", "18446744073709551615", "9223372036854775807", "-1",
+        "1.5", "true", "\"1780000000000\"", very_deep}},
+      {"warmup_left_ms", {"1e300", "1e999", "true", "\"1\"", very_deep}},
+      {"address",
+       {"\"10.1.0.9:65536\"", "\"10.1.0.9:99999999999999999999\"",
+        "\"10.1.0.9:0\"", "\"10.1.0.9:-1\"", "\"10.1.0.9\"", "\":80\"",
+        "\"10.1.0.999:80\"", "\"server.example:80\"", "7", very_deep}},
+      {"zone", {"\"\"", "\"a b\"", "\"a\\r\\nX: y\"", "7", very_deep}},
+      {"service", {"\"\"", "\"a\\nb\"", "7", very_deep}},
+  };
+  for (const auto& [field, values] : impossible_values) {
+    for (const std::string& value : values) {
+      CAPTURE(field, value.substr(0, 40));
+      CHECK_FALSE(is_server("i-1", with(field, value)));
+    }
+  }
+  CHECK_FALSE(is_server("i-1", very_deep));
+  CHECK(is_server("i-1", with("version", very_deep)));
+  CHECK_FALSE(is_server("i-1\r\nX-Injected: 1", kServerJson));
+  CHECK_FALSE(is_server("", kServerJson));
+}
+
 // Guards against crashes of the decoder on arbitrary bytes under any key.
 TEST_CASE("malformed values do not crash the decoder") {
   CHECK(rc::check([](uint16_t position, uint8_t value, bool is_config) {
