Bound the nesting of messages between instances

Cause: the MessagePack decoder is recursive without a limit of its depth. An answer of 10 MB of nested arrays to a read of the shared state ended the process by stack overflow. Evidence before: relay_codec_test "deeply nested answers ..." ends with SIGSEGV; heartbeat_test passes before too (64 KB fit on the stack of a release build).

--- a/packages/edge/src/relay_codec.cc
+++ b/packages/edge/src/relay_codec.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 #include "edge/src/deflate.h"
+#include "gateway/src/msgpack.h"
 
 namespace baobabwall::edge {
 namespace internal {
@@ -130,11 +131,13 @@
     inflated = *std::move(text);
   }
   const std::string& encoded = is_compressed ? inflated : answer.body();
-  const internal::json body =
-      internal::json::from_msgpack(encoded.begin(), encoded.end(), true, false);
-  if (!body.is_array() || body.size() < internal::kNumAnswerFields) {
+  const std::optional<internal::json> message = gateway::DecodeMsgpack(
+      {reinterpret_cast<const uint8_t*>(encoded.data()), encoded.size()});
+  if (!message || !message->is_array() ||
+      message->size() < internal::kNumAnswerFields) {
     return {};
   }
+  const internal::json& body = *message;
   try {
     const auto status = internal::DecodeStatus(body[0].get<int64_t>());
     if (!status) {
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "gateway/src/msgpack.h"
+
 namespace baobabwall::gateway {
 namespace internal {
 
@@ -69,11 +71,12 @@
 }
 
 std::optional<Heartbeat> Heartbeat::Decode(absl::Span<const uint8_t> bytes) {
-  const nlohmann::json message =
-      nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-  if (!message.is_array() || message.size() < internal::kFieldCount) {
+  const std::optional<nlohmann::json> decoded = DecodeMsgpack(bytes);
+  if (!decoded || !decoded->is_array() ||
+      decoded->size() < internal::kFieldCount) {
     return std::nullopt;
   }
+  const nlohmann::json& message = *decoded;
   try {
     Heartbeat heartbeat;
     heartbeat.instance = message[0].get<std::string>();
--- /dev/null
+++ b/test/heartbeat_test.cc
@@ -0,0 +1,86 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gateway/gateway.h"
+
+namespace baobabwall::gateway {
+namespace {
+
+// Guards against foreign datagrams that are accepted as heartbeats or crash the
+// decoder.
+TEST_CASE("a heartbeat is decoded as encoded; other bytes are rejected") {
+  Heartbeat heartbeat;
+  heartbeat.instance = "edge-1";
+  heartbeat.incarnation = 1'780'000'000'000;
+  heartbeat.sequence = 12;
+  heartbeat.is_ready = true;
+  heartbeat.is_active = true;
+  heartbeat.state_revision = 4;
+  heartbeat.loads = {{0xffffffff, 3}, {7, 1}};
+  heartbeat.demand = {{9, 4321}};
+  heartbeat.planned_shares = {{0xfffffffe, 5, 250}, {0xfffffffe, 6, 750}};
+  const auto read = Heartbeat::Decode(heartbeat.Encode());
+  REQUIRE(read.has_value());
+  CHECK(read->instance == heartbeat.instance);
+  CHECK(read->incarnation == heartbeat.incarnation);
+  CHECK(read->loads == heartbeat.loads);
+  CHECK(read->demand == heartbeat.demand);
+  CHECK(read->planned_shares == heartbeat.planned_shares);
+  using LoadReport = Heartbeat::LoadReport;
+  const auto without_loads =
+      Heartbeat::Decode(heartbeat.Encode(LoadReport::kOmitted));
+  REQUIRE(without_loads.has_value());
+  CHECK(without_loads->loads.empty());
+  CHECK(without_loads->planned_shares.empty());
+  CHECK(without_loads->demand == heartbeat.demand);
+  CHECK(read->is_ready);
+  CHECK_FALSE(read->is_leaving);
+  CHECK(rc::check([](const std::vector<uint8_t>& bytes) {
+    Heartbeat::Decode(bytes);  // Must not throw.
+  }));
+  CHECK(rc::check([&](uint16_t at, uint8_t value) {
+    std::vector<uint8_t> bytes = heartbeat.Encode();
+    bytes[at % bytes.size()] = value;
+    Heartbeat::Decode(bytes);
+  }));
+}
+
+// Guards against a datagram that the receiver cuts off: a deployment with many
+// services and servers.
+TEST_CASE("the largest heartbeat fits into a datagram") {
+  Heartbeat heartbeat;
+  heartbeat.instance = std::string(64, 'n');
+  heartbeat.incarnation = 1'780'000'000'000;
+  heartbeat.sequence = 1ULL << 40;
+  heartbeat.state_revision = 1LL << 40;
+  for (uint32_t i = 0; i < 500; ++i) {
+    heartbeat.loads.emplace_back(0xffffff00 + i % 256, 100'000);
+    heartbeat.demand.emplace_back(0xffffff00 + i % 256, 100'000);
+    heartbeat.planned_shares.push_back({0xffffff00, 0xffffff00, 1000});
+  }
+  CHECK(heartbeat.Encode().size() <= Heartbeat::kMaxEncodedBytes);
+}
+
+// Guards against a datagram that ends the process by stack overflow: the
+// decoder is recursive.
+TEST_CASE("a deeply nested datagram is rejected") {
+  constexpr uint8_t kArrayOfOne = 0x91;
+  constexpr uint8_t kMapOfOneWithEmptyKey[] = {0x81, 0xa0};
+  constexpr size_t kMaxDatagramBytes = 65'507;
+  CHECK_FALSE(
+      Heartbeat::Decode(std::vector<uint8_t>(kMaxDatagramBytes, kArrayOfOne))
+          .has_value());
+  std::vector<uint8_t> maps;
+  while (maps.size() + 2 < kMaxDatagramBytes) {
+    maps.insert(maps.end(), std::begin(kMapOfOneWithEmptyKey),
+                std::end(kMapOfOneWithEmptyKey));
+  }
+  CHECK_FALSE(Heartbeat::Decode(maps).has_value());
+}
+
+}  // namespace
+}  // namespace baobabwall::gateway
--- a/test/relay_codec_test.cc
+++ b/test/relay_codec_test.cc
@@ -144,5 +144,13 @@
         StoreStatus::kUnknown);
 }
 
+// Guards against a crash by stack overflow: the decoder is recursive.
+TEST_CASE("deeply nested answers of other instances are rejected") {
+  constexpr char kArrayOfOne = '\x91';
+  HttpResponse response(http::status::ok, 11);
+  response.body() = std::string(10'000'000, kArrayOfOne);
+  CHECK(DecodeRelayAnswer(response).status == StoreStatus::kUnknown);
+}
+
 }  // namespace
 }  // namespace baobabwall::edge
