Do not reuse a connection for a request that was refused on it

Callers could see: 503 ("not run") for a request that a server was running, if the server wrote an earlier refusal once more and the caller sent the refused request again under the same id. Cause: answers are matched by the request's id; a copy has the expected id then. With different ids the copy was dropped before, too. Change: a connection remembers the refused ids, is not used for them again and is closed after 64 refusals.

--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <utility>
 
+#include "base/base.h"
 #include "edge/src/incoming.h"
 #include "edge/src/socket_options.h"
 #include "transport/transport.h"
@@ -31,6 +32,10 @@
   gateway::Endpoint endpoint;
   absl::Time idle_since;
   absl::Duration max_idle_time = kDefaultKeepAliveTime * kKeepAliveFraction;
+  /// Hashes of the ids of the requests that the server refused on this
+  /// connection. A late copy of a refusal could be taken for the answer to a
+  /// later request with the same id.
+  std::vector<uint64_t> refused_request_ids;
 };
 
 class BackendClient::Attempt
@@ -51,7 +56,7 @@
     // On a reused connection, a late answer to an earlier request can only be
     // recognized by the id of the request.
     if (!request_id_.empty()) {
-      connection_ = client_->TakeIdleConnection(start_);
+      connection_ = client_->TakeIdleConnection(start_, request_id_);
     }
     if (connection_ != nullptr) {
       is_connection_reused_ = true;
@@ -255,14 +260,19 @@
       Finish(AttemptResult::kTruncated);
       return;
     }
+    const bool is_not_run = decoded.is_not_run || decoded.is_other_server;
+    std::vector<uint64_t>& refused_ids = connection_->refused_request_ids;
+    if (is_not_run) {
+      refused_ids.push_back(base::StableHash(request_id_));
+    }
     const bool is_reusable = answer.keep_alive() && !answer.need_eof() &&
                              is_sent_ && !has_foreign_answer_ &&
                              pending_read_->buffer.size() == 0 &&
-                             !decoded.is_other_server;
+                             !decoded.is_other_server &&
+                             refused_ids.size() < kMaxRefusalsPerConnection;
     if (is_reusable) {
       client_->KeepIdleConnection(start_.server, std::move(connection_));
     }
-    const bool is_not_run = decoded.is_not_run || decoded.is_other_server;
     Finish(is_not_run ? AttemptResult::kRefused : AttemptResult::kCompleted,
            std::move(answer));
   }
@@ -343,12 +353,14 @@
 }
 
 std::shared_ptr<BackendClient::Connection> BackendClient::TakeIdleConnection(
-    const gateway::StartAttempt& start) {
+    const gateway::StartAttempt& start,
+    absl::string_view request_id) {
   const auto entry = idle_connections_.find(start.server);
   if (entry == idle_connections_.end()) {
     return nullptr;
   }
   const absl::Time now = transport::SteadyNow();
+  const uint64_t id_hash = base::StableHash(request_id);
   std::vector<std::shared_ptr<Connection>>& connections = entry->second;
   while (!connections.empty()) {
     // The most recently used connection is taken first, so that connections
@@ -360,7 +372,11 @@
         start.is_idempotent
             ? connection->max_idle_time
             : std::min(connection->max_idle_time, kMaxIdleTimeNonIdempotent);
-    if (idle_time > max_idle_time ||
+    const std::vector<uint64_t>& refused_ids = connection->refused_request_ids;
+    const bool was_refused_here =
+        std::find(refused_ids.begin(), refused_ids.end(), id_hash) !=
+        refused_ids.end();
+    if (idle_time > max_idle_time || was_refused_here ||
         !(connection->endpoint == start.endpoint)) {
       continue;
     }
--- a/packages/edge/src/backend_client.h
+++ b/packages/edge/src/backend_client.h
@@ -21,7 +21,8 @@
 ///
 /// Idle connections are kept for each backend server. An answer is accepted
 /// only if it has the id of its request; other answers are dropped. A
-/// connection on which unexpected data arrived is not reused.
+/// connection on which unexpected data arrived, or on which the same request
+/// was refused before, is not reused.
 class BackendClient {
  public:
   /// Fraction of the server's keep-alive time for which an idle connection may
@@ -44,6 +45,8 @@
   /// Maximum number of interim answers and of answers to other requests before
   /// the answer to a request.
   static constexpr int kMaxSkippedAnswers = 16;
+  /// A connection with this number of refusals is closed.
+  static constexpr size_t kMaxRefusalsPerConnection = 64;
 
   /// \param end result of the attempt.
   /// \param answer the complete answer, if the server sent a valid answer.
@@ -84,8 +87,11 @@
   class Attempt;
   struct Connection;
 
+  /// \returns an idle connection on which this request was not refused before;
+  /// nullptr if there is none.
   std::shared_ptr<Connection> TakeIdleConnection(
-      const gateway::StartAttempt& start);
+      const gateway::StartAttempt& start,
+      absl::string_view request_id);
   void KeepIdleConnection(const std::string& server,
                           std::shared_ptr<Connection> connection);
 
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -244,6 +246,83 @@
   }
 }
 
+std::string Refusal(const std::string& id) {
+  return absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: ", id,
+                      "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+/// Refuses the first request of each connection. Before each answer to a later
+/// one, a copy of that refusal arrives.
+class RefusalCopier {
+ public:
+  RawServer::Script Script() {
+    return [this](int socket, const std::string& request) {
+      return Serve(socket, request);
+    };
+  }
+
+ private:
+  bool Serve(int socket, const std::string& request) {
+    const std::string id = RequestIdOf(request);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (is_refused_) {
+      const auto copied = refusals_.find(socket);
+      if (copied != refusals_.end()) {
+        RawServer::Write(socket, copied->second);
+        usleep(20'000);
+      }
+      RawServer::Write(socket, OkAnswer(id, "ran"));
+      return true;
+    }
+    is_refused_ = true;
+    refusals_[socket] = Refusal(id);
+    RawServer::Write(socket, refusals_[socket]);
+    return true;
+  }
+
+  std::mutex mutex_;
+  bool is_refused_ = false;
+  std::map<int, std::string> refusals_;  ///< By socket.
+};
+
+// Guards against "not run" for a request that the server runs: a late copy of
+// an earlier refusal on a kept connection was taken for its answer.
+TEST_CASE("a late copy of a refusal does not refuse a later request") {
+  RefusalCopier copier;
+  ClientFixture fixture(copier.Script());
+  const auto send = [&](const std::string& id) {
+    ++fixture.last_attempt;
+    fixture.StartRequest(id, false, "booking");
+    return fixture.WaitForOutcome().end;
+  };
+  CHECK(send("first").result == AttemptResult::kRefused);
+  SECTION("another request") {
+    const gateway::AttemptEnd end = send("second");
+    CHECK(end.result == AttemptResult::kCompleted);
+    CHECK(end.status == 200);
+  }
+  SECTION("the caller sends the refused request again under its id") {
+    const gateway::AttemptEnd end = send("first");
+    CHECK(end.result == AttemptResult::kCompleted);
+    CHECK(end.status == 200);
+  }
+}
+
+// Guards against memory that grows with the refusals of a connection.
+TEST_CASE("a connection with many refusals is closed") {
+  ClientFixture fixture([](int socket, const std::string& request) {
+    RawServer::Write(socket, Refusal(RequestIdOf(request)));
+    return true;
+  });
+  for (size_t i = 0; i < BackendClient::kMaxRefusalsPerConnection; ++i) {
+    CHECK(fixture.Send().end.result == AttemptResult::kRefused);
+  }
+  CHECK(fixture.server.accepted() == 1);
+  CHECK(fixture.client.idle_connection_count() == 0);
+  CHECK(fixture.Send().end.result == AttemptResult::kRefused);
+  CHECK(fixture.server.accepted() == 2);
+}
+
 // Guards against the same for a request without an id: its answer can't be
 // told from a late copy.
 TEST_CASE("a request without an id does not reuse a connection") {
@@ -301,6 +380,31 @@
   CHECK(fixture.server.accepted() == 1);
 }
 
+// Guards against a success with an empty or short body: the server stopped
+// within the header or the body of its answer.
+TEST_CASE("an answer that is cut at any byte is not delivered") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: id-1\r\n";
+  for (const std::string& rest :
+       {std::string("Content-Length: 5\r\n\r\nhello"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n"
+                    "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"),
+        std::string("Connection: close\r\n\r\n")}) {
+    const std::string answer = head + rest;
+    for (size_t length = 0; length < answer.size(); ++length) {
+      CAPTURE(rest, length);
+      ClientFixture fixture([&](int socket, const std::string&) {
+        RawServer::Write(socket, answer.substr(0, length));
+        return false;
+      });
+      const AttemptOutcome outcome = fixture.Send(false, "booking");
+      CHECK(outcome.end.result ==
+            (length == 0 ? AttemptResult::kBroken : AttemptResult::kTruncated));
+      CHECK_FALSE(outcome.answer.has_value());
+    }
+  }
+}
+
 // Guards against delivering a truncated answer as a complete answer.
 TEST_CASE("a truncated answer is not delivered") {
   ClientFixture fixture([](int socket, const std::string& request) {
