Heed what a server says of itself in its answers

Cause: Server-Leaving and a refusal's Retry-After were not read. Change: the adapter decodes both (a pause of 1 h at most; invalid values are ignored). ServerLoad keeps them for the server's incarnation, also through outages of the store and while its entry is missing. A leaving server gets no new request from the first such answer on, also one that breaks off after its header; a pausing one gets none until the end plus a random tenth (1 s at most). An answer of another server at the address (421) says nothing. If only pauses prevent a request, it is refused at once with the end of the first one (pause-requested).

--- a/packages/ctl/src/trace.cc
+++ b/packages/ctl/src/trace.cc
@@ -30,6 +30,8 @@
     {"full", "all slots of the eligible backend servers were in use"},
     {"no-usable-server",
      "each backend server is draining, paused, cold, or in an evacuated zone"},
+    {"pause-requested",
+     "each usable backend server had asked to get no requests for a time"},
     {"no-server", "no backend server of the service is registered"},
     {"no-configuration",
      "the instance had not read the configuration: see `store: read`"},
--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -227,6 +227,7 @@
         return;
       }
       const bool has_partial_answer = pending_read_->parser->got_some();
+      RecordNoticeOfPartialAnswer();
       Finish(has_partial_answer ? AttemptResult::kTruncated
                                 : AttemptResult::kBroken);
       return;
@@ -251,6 +252,8 @@
     attempt_end_.is_other_server = decoded.is_other_server;
     attempt_end_.load = decoded.load;
     attempt_end_.cold_left = decoded.cold_left;
+    attempt_end_.is_server_leaving = decoded.is_leaving;
+    attempt_end_.requested_pause = decoded.requested_pause;
     if (decoded.keep_alive) {
       connection_->max_idle_time = *decoded.keep_alive * kKeepAliveFraction;
     }
@@ -277,6 +280,17 @@
            std::move(answer));
   }
 
+  /// A server that breaks off may have announced in the header that it leaves.
+  void RecordNoticeOfPartialAnswer() {
+    if (!pending_read_->parser->is_header_done()) {
+      return;
+    }
+    const BackendAnswer decoded =
+        client_->dialect_->read_answer(pending_read_->parser->get());
+    attempt_end_.is_server_leaving =
+        decoded.request_id == request_id_ && decoded.is_leaving;
+  }
+
   void Finish(AttemptResult result,
               std::optional<HttpResponse> answer = std::nullopt) {
     const auto self = shared_from_this();
--- a/packages/edge/src/dialect.h
+++ b/packages/edge/src/dialect.h
@@ -22,6 +22,9 @@
   bool is_other_server = false;  ///< Another server has the address.
   std::optional<gateway::ReportedLoad> load;
   std::optional<absl::Duration> cold_left;
+  bool is_leaving = false;  ///< The server shuts down soon.
+  /// Time for which the server wants no requests.
+  std::optional<absl::Duration> requested_pause;
   /// Time for which the server keeps an idle connection open.
   std::optional<absl::Duration> keep_alive;
 };
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -52,6 +52,17 @@
            [](const gateway::BackendServer& server) {
              LOG(INFO) << "backend: back server=" << server.id
                        << " service=" << server.service;
+           },
+           [](const gateway::BackendServer& server) {
+             LOG(INFO) << "backend: leaving server=" << server.id
+                       << " service=" << server.service
+                       << " incarnation=" << server.incarnation;
+           },
+           [](const gateway::BackendServer& server, absl::Duration pause) {
+             LOG(INFO) << "backend: pause requested server=" << server.id
+                       << " service=" << server.service
+                       << " incarnation=" << server.incarnation
+                       << " ms=" << absl::ToInt64Milliseconds(pause);
            }}),
       peers_(self_.name, self_.zone, self_.region),
       request_log_(settings.log_lines_per_s),
@@ -520,6 +531,15 @@
                ? 0.0
                : static_cast<double>(steering_.config()->version());
   });
+  add("baobabwall_backend_servers_leaving",
+      "Backend servers that have announced that they leave", false, [this] {
+        return static_cast<double>(steering_.balancer().leaving_server_count());
+      });
+  add("baobabwall_backend_servers_pausing",
+      "Backend servers that asked for a pause", false, [this] {
+        return static_cast<double>(
+            steering_.balancer().pausing_server_count(transport::SteadyNow()));
+      });
   add("baobabwall_backend_servers", "Backend servers known", false, [this] {
     return static_cast<double>(steering_.balancer().server_count());
   });
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -71,7 +71,33 @@
   cold_request_rates_.clear();
 }
 
+void Balancer::RetainNotices(const BackendSet& set) {
+  if (retained_notices_.size() > kMaxRetainedNotices) {
+    retained_notices_.clear();
+  }
+  for (const Server& server : servers_) {
+    const ServerNotice& notice = server.load->notice();
+    const bool is_notified =
+        notice.is_leaving || notice.paused_until > absl::InfinitePast();
+    if (is_notified && set.Find(server.description->id) == nullptr) {
+      retained_notices_[server.description->id] = {server.description, notice};
+    }
+  }
+}
+
+void Balancer::RestoreNotice(const Server& server) {
+  const auto retained = retained_notices_.find(server.description->id);
+  if (retained == retained_notices_.end()) {
+    return;
+  }
+  if (internal::IsSameServer(*retained->second.server, *server.description)) {
+    server.load->SetNotice(retained->second.notice);
+  }
+  retained_notices_.erase(retained);
+}
+
 void Balancer::SetBackends(const BackendSet& set) {
+  RetainNotices(set);
   cold_request_rates_.clear();
   std::vector<Server> servers;
   servers.reserve(set.servers.size());
@@ -105,6 +131,7 @@
   server->zone = &zones_->Find(description->zone);
   if (server->load == nullptr) {
     server->load = std::make_shared<ServerLoad>(description);
+    RestoreNotice(*server);
   } else {
     server->load->Update(description);
   }
@@ -328,11 +355,34 @@
     }
   }
   if (chosen == nullptr) {
-    return {nullptr, 0, {}, refusal};
+    const auto pause_end = FirstPauseEnd(query, servers, now);
+    return {nullptr, 0, {}, pause_end ? "pause-requested" : refusal, pause_end};
   }
   return {chosen->load, best.load, absl::Seconds(best.expected_s), {}};
 }
 
+std::optional<absl::Time> Balancer::FirstPauseEnd(
+    const PlacementQuery& query,
+    absl::Span<const Server> servers,
+    absl::Time now) const {
+  const std::vector<std::string>& regions = query.route->allowed_regions;
+  std::optional<absl::Time> first;
+  for (const Server& server : servers) {
+    const bool is_allowed =
+        regions.empty() || internal::Contains(regions, server.zone->region);
+    if (!is_allowed || server.description->is_draining || server.is_evacuated ||
+        server.load->notice().is_leaving) {
+      continue;
+    }
+    const absl::Time pause_end = server.load->notice().paused_until;
+    if (pause_end <= now) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(pause_end), pause_end);
+  }
+  return first;
+}
+
 bool Balancer::RecordStart(const PlacementQuery& query,
                            ServerLoad* server,
                            absl::Time now) {
@@ -444,6 +494,18 @@
   return least;
 }
 
+size_t Balancer::leaving_server_count() const {
+  return std::count_if(servers_.begin(), servers_.end(), [](const Server& s) {
+    return s.load->notice().is_leaving;
+  });
+}
+
+size_t Balancer::pausing_server_count(absl::Time now) const {
+  return std::count_if(
+      servers_.begin(), servers_.end(),
+      [now](const Server& s) { return now < s.load->notice().paused_until; });
+}
+
 std::vector<std::pair<uint32_t, int>> Balancer::OwnLoads() const {
   std::vector<std::pair<uint32_t, int>> loads;
   for (const Server& server : servers_) {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -42,6 +42,9 @@
   double load = 0;            ///< Expected number of requests at the server.
   absl::Duration expected;    ///< Expected time until the answer.
   absl::string_view refusal;  ///< Reason of the refusal; static text.
+  /// If only pauses that servers asked for prevent the request: the end of the
+  /// first of these pauses.
+  std::optional<absl::Time> pause_end = std::nullopt;
 };
 
 /// \brief Chooses backend servers by round-trip time, load, speed and affinity.
@@ -101,6 +104,9 @@
   /// instances are chosen among the instances that serve the callers of the
   /// server's zone.
   static constexpr int kMaxColdServerSenders = 2;
+  /// Maximum number of servers that are not in the store whose notices are
+  /// retained. Above it, all of these notices are dropped.
+  static constexpr size_t kMaxRetainedNotices = 4096;
 
   explicit Balancer(ZoneMap* zones, std::string self)
       : zones_(zones), self_(std::move(self)) {}
@@ -176,6 +182,10 @@
   double LeastOwnShare() const;
 
   size_t server_count() const { return servers_.size(); }
+  /// \returns the number of servers that have announced that they leave.
+  size_t leaving_server_count() const;
+  /// \returns the number of servers that want no requests for a time.
+  size_t pausing_server_count(absl::Time now) const;
 
  private:
   /// A server with the data that is read for each request.
@@ -212,6 +222,22 @@
     bool is_likely_cached = false;
   };
 
+  /// A notice of a server whose entry is not in the store.
+  struct RetainedNotice {
+    std::shared_ptr<const BackendServer> server;
+    ServerNotice notice;
+  };
+
+  /// Retains the notices of servers that are no longer in the set: an entry
+  /// that has lapsed may come back.
+  void RetainNotices(const BackendSet& set);
+  /// Applies the retained notice to a server whose entry has come back.
+  void RestoreNotice(const Server& server);
+  /// \returns the end of the first pause that a server of the query's regions
+  /// asked for; nullopt if another reason prevents the request.
+  std::optional<absl::Time> FirstPauseEnd(const PlacementQuery& query,
+                                          absl::Span<const Server> servers,
+                                          absl::Time now) const;
   void UpdateServer(Server* server,
                     const std::shared_ptr<const BackendServer>& description);
   /// \returns whether the server accepts any new requests.
@@ -241,6 +267,8 @@
   std::shared_ptr<const RoutingConfig> config_ =
       std::make_shared<RoutingConfig>();
   std::vector<Server> servers_;  ///< Sorted by id.
+  /// By server id.
+  absl::flat_hash_map<std::string, RetainedNotice> retained_notices_;
   absl::flat_hash_map<std::string, std::vector<Server>> servers_by_service_;
   std::vector<InstanceRecord> instances_;
   /// Sum of the CPU shares of the live instances by region.
--- a/packages/gateway/src/server_load.cc
+++ b/packages/gateway/src/server_load.cc
@@ -61,7 +61,7 @@
 
 absl::Duration ServerLoad::OnUnreachable(absl::Duration warmup,
                                          absl::Time now) {
-  if (IsPaused(now)) {
+  if (now < paused_until_) {
     return absl::ZeroDuration();
   }
   const double factor = std::pow(2, std::min(consecutive_connect_failures_, 8));
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -22,6 +22,18 @@
   int slots = 0;
 };
 
+/// \brief What a backend server has said about itself in its answers. Holds for
+/// one incarnation of the server, whatever its entry in the store says.
+struct ServerNotice {
+  bool is_leaving = false;
+  /// The server wants no requests from this instance until then.
+  absl::Time paused_until = absl::InfinitePast();
+
+  bool IsInForce(absl::Time now) const {
+    return is_leaving || now < paused_until;
+  }
+};
+
 /// \brief Load, speed and failures of one backend server as observed by this
 /// instance. Not thread-safe.
 class ServerLoad {
@@ -81,7 +93,21 @@
   CachedObjects& cached_objects() { return cached_objects_; }
   const CachedObjects& cached_objects() const { return cached_objects_; }
 
-  bool IsPaused(absl::Time now) const { return now < paused_until_; }
+  /// \returns whether the server gets no new requests at this time, because it
+  /// was unreachable or because of its own notice.
+  bool IsPaused(absl::Time now) const {
+    return now < paused_until_ || notice_.IsInForce(now);
+  }
+  const ServerNotice& notice() const { return notice_; }
+  void SetNotice(const ServerNotice& notice) { notice_ = notice; }
+  /// \brief Records that the server shuts down soon.
+  /// \returns false if this was known.
+  bool MarkLeaving() { return !std::exchange(notice_.is_leaving, true); }
+  /// \brief Records that the server wants no requests. An earlier, longer pause
+  /// is not shortened.
+  void PauseUntil(absl::Time until) {
+    notice_.paused_until = std::max(notice_.paused_until, until);
+  }
   bool IsCold(absl::Time now) const { return now < cold_until_; }
 
   void OnRequestStart(absl::Time now);
@@ -123,7 +149,9 @@
   double failure_ratio_ = 0;
   absl::Time failure_ratio_updated_at_ = absl::InfinitePast();
   int consecutive_connect_failures_ = 0;
+  /// End of the pause after a failed connection.
   absl::Time paused_until_ = absl::InfinitePast();
+  ServerNotice notice_;
   base::SlidingWindow requests_in_last_second_;
 };
 
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -128,6 +128,7 @@
                             absl::Time now,
                             SteeringActions* actions) {
   const Placement placement = Choose(*request, now);
+  request->pause_end = placement.pause_end;
   if (placement.server == nullptr) {
     RefuseRequest(request, kHttpUnavailable, placement.refusal, now, actions);
     return;
@@ -190,6 +191,9 @@
   if (end.connect_time) {
     zones_->RecordRoundTrip(server->server().zone, *end.connect_time);
   }
+  if (!end.is_other_server) {
+    RecordNotice(server, end, now);
+  }
   const bool is_run = end.result != AttemptResult::kConnectFailed &&
                       end.result != AttemptResult::kRefused;
   if (!is_run && !request.attempt.was_cached) {
@@ -229,6 +233,26 @@
   balancer_.RecordWorkTime(MakeQuery(request), server, work, now);
 }
 
+void Steering::RecordNotice(ServerLoad* server,
+                            const AttemptEnd& end,
+                            absl::Time now) {
+  if (end.is_server_leaving && server->MarkLeaving() &&
+      hooks_.on_server_leaving) {
+    hooks_.on_server_leaving(server->server());
+  }
+  if (!end.requested_pause) {
+    return;
+  }
+  // The instances return to the server at different times.
+  const absl::Duration spread =
+      std::min(*end.requested_pause * kPauseSpreadRatio, kMaxPauseSpread);
+  const absl::Duration pause = *end.requested_pause + spread * random_.Unit();
+  server->PauseUntil(now + pause);
+  if (hooks_.on_pause_requested) {
+    hooks_.on_pause_requested(server->server(), pause);
+  }
+}
+
 void Steering::RecordReachable(ServerLoad* server) {
   if (server->OnReachable() && hooks_.on_server_reachable) {
     hooks_.on_server_reachable(server->server());
@@ -373,6 +397,7 @@
     return {};
   }
   Placement next = Choose(*request, now);
+  request->pause_end = next.pause_end;
   if (next.server == nullptr) {
     no_retry = NoRetry::kNoServer;
     return {};
@@ -406,17 +431,20 @@
   if (reports_not_run && request->may_have_run) {
     refuse.status = kHttpBadGateway;
   } else if (reports_not_run) {
-    refuse.retry_after = RetryAfter(*request);
+    refuse.retry_after = RetryAfter(*request, now);
   }
   FinishRequest(request, refuse.status, reason,
                 refuse.retry_after.value_or(absl::ZeroDuration()), now);
   actions->push_back(std::move(refuse));
 }
 
-absl::Duration Steering::RetryAfter(const Request& request) {
+absl::Duration Steering::RetryAfter(const Request& request, absl::Time now) {
   if (request.route == nullptr) {
     return kNoConfigRetryAfter;
   }
+  if (request.pause_end) {
+    return *request.pause_end - now;
+  }
   const absl::Duration work =
       balancer_.WorkTimeOf(request.service, *request.route).cold;
   return work *
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -56,6 +56,10 @@
   static constexpr double kMaxRetryAfterFactor = 1.2;
   /// Retry-After time while this instance has no configuration.
   static constexpr absl::Duration kNoConfigRetryAfter = absl::Milliseconds(500);
+  /// Bounds of the random time that is added to the pause that a server asked
+  /// for: a fraction of the pause, and a maximum.
+  static constexpr double kPauseSpreadRatio = 0.1;
+  static constexpr absl::Duration kMaxPauseSpread = absl::Seconds(1);
 
   struct Hooks {
     std::function<void(const RequestRecord&)> on_request_end;
@@ -66,6 +70,13 @@
     std::function<void(const BackendServer&, absl::Duration)> on_server_paused;
     /// Called when a paused backend server is reachable again.
     std::function<void(const BackendServer&)> on_server_reachable;
+    /// Called when a backend server announces that it leaves, and therefore
+    /// gets no new requests.
+    std::function<void(const BackendServer&)> on_server_leaving;
+    /// Called when a backend server gets no new requests for the given time
+    /// because it asked for a pause.
+    std::function<void(const BackendServer&, absl::Duration)>
+        on_pause_requested;
   };
 
   Steering(ZoneMap* zones, std::string self, uint64_t seed, Hooks hooks);
@@ -139,6 +150,9 @@
     std::vector<AttemptRecord> attempt_records;
     Attempt attempt;
     absl::Time answer_check_at;
+    /// End of the first pause of a server if only these pauses prevent the next
+    /// attempt.
+    std::optional<absl::Time> pause_end;
   };
 
   /// \brief Starts the first attempt, or the next attempt after a request could
@@ -180,6 +194,8 @@
                const AttemptEnd& end,
                absl::Time now,
                SteeringActions* actions);
+  /// Records what the server has said about itself in its answer.
+  void RecordNotice(ServerLoad* server, const AttemptEnd& end, absl::Time now);
   void RefuseRequest(Request* request,
                      int status,
                      absl::string_view reason,
@@ -193,7 +209,7 @@
                      absl::string_view reason,
                      absl::Duration retry_after,
                      absl::Time now);
-  absl::Duration RetryAfter(const Request& request);
+  absl::Duration RetryAfter(const Request& request, absl::Time now);
 
   ZoneMap* zones_;
   base::Random random_;
--- a/packages/gateway/src/steering_event.h
+++ b/packages/gateway/src/steering_event.h
@@ -41,6 +41,10 @@
   bool is_other_server = false;
   std::optional<ReportedLoad> load;
   std::optional<absl::Duration> cold_left;
+  /// Whether the server announced that it shuts down soon.
+  bool is_server_leaving = false;
+  /// Time for which the server wants no requests from this instance.
+  std::optional<absl::Duration> requested_pause;
   /// Set if a connection was opened.
   std::optional<absl::Duration> connect_time;
 };
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -176,6 +176,118 @@
   CHECK(fleet.LogFindings().empty());
 }
 
+/// One instance and two backend servers.
+class NoticeFixture {
+ public:
+  explicit NoticeFixture(const std::string& name) : fleet(name) {
+    fleet.PutConfig(1);
+    for (const char* server : {"i-1", "i-2"}) {
+      fleet.platform().AddBackend(server, "s", "a-1", absl::Milliseconds(1));
+    }
+    fleet.Start("one", "a-1");
+    REQUIRE(fleet.WaitReady("one"));
+  }
+
+  CallerAnswer SendNext() {
+    return Send(fleet.caller_port("one"), "/book/x",
+                absl::StrCat("id-", ++sent_requests));
+  }
+
+  /// Sends requests until one has reached the server since the call.
+  void SendUntilArrival(const std::string& server) {
+    const int previous = fleet.platform().arrival_count(server);
+    REQUIRE(WaitFor([&] {
+      SendNext();
+      return fleet.platform().arrival_count(server) > previous;
+    }));
+  }
+
+  GatewayFleet fleet;
+  int sent_requests = 0;
+};
+
+// Guards against requests to a server that says in its answers that it leaves,
+// while its entry in the store still says that it is ready.
+TEST_CASE("a server that announces its leaving gets no new requests") {
+  NoticeFixture fixture("leaving-notice");
+  PlatformStandin& platform = fixture.fleet.platform();
+  platform.AnnounceLeaving("i-1");
+  fixture.SendUntilArrival("i-1");
+  SECTION("the store answers") {}
+  SECTION("the store is unreachable") {
+    platform.SetStoreMode(StoreMode::kRefusing);
+  }
+  SECTION("the entry is removed and returns") {
+    platform.Delete("servers/i-1");
+    CHECK(WaitFor([&] {
+      return absl::StrContains(fixture.fleet.Log("one"),
+                               "registry: server removed server=i-1");
+    }));
+    platform.Put("servers/i-1",
+                 R"({"service":"s","zone":"a-1","state":"ready","born":1,)"
+                 R"("capacity_slots":5,"address":")" +
+                     platform.BackendAddress("i-1") + "\"}");
+    absl::SleepFor(absl::Seconds(2));
+  }
+  const int arrivals = platform.arrival_count("i-1");
+  for (int i = 0; i < 30; ++i) {
+    CHECK(fixture.SendNext().status == 200);
+  }
+  CHECK(platform.arrival_count("i-1") == arrivals);
+  CHECK(absl::StrContains(fixture.fleet.Log("one"),
+                          "backend: leaving server=i-1"));
+  CHECK(fixture.fleet.LogFindings().empty());
+}
+
+// Guards against requests to a server that asked to be left alone for a time,
+// and against waiting for it while another server is free.
+TEST_CASE("a server that asks for a pause gets no requests until its end") {
+  NoticeFixture fixture("wait-notice");
+  PlatformStandin& platform = fixture.fleet.platform();
+  platform.SetFull("i-1", true, "3.0");
+  fixture.SendUntilArrival("i-1");
+  const absl::Time end = absl::Now() + absl::Seconds(2.8);
+  const int arrivals = platform.arrival_count("i-1");
+  platform.SetFull("i-1", false);
+  while (absl::Now() < end) {
+    CHECK(fixture.SendNext().status == 200);
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+  CHECK(platform.arrival_count("i-1") == arrivals);
+  // Without the other server, requests go to this one again.
+  platform.SetFull("i-2", true);
+  fixture.SendUntilArrival("i-1");
+  CHECK(fixture.fleet.LogFindings().empty());
+}
+
+// Guards against a caller that waits although all servers have asked for a
+// pause, and against an answer that does not say when they are back.
+TEST_CASE("requests are rejected at once while all servers want a pause") {
+  NoticeFixture fixture("all-wait");
+  PlatformStandin& platform = fixture.fleet.platform();
+  for (const char* server : {"i-1", "i-2"}) {
+    platform.SetFull(server, true, "4");
+  }
+  // The refusal of one server may send the same request to the other one.
+  REQUIRE(WaitFor([&] {
+    fixture.SendNext();
+    return platform.arrival_count("i-1") > 0 &&
+           platform.arrival_count("i-2") > 0;
+  }));
+  const int arrivals =
+      platform.arrival_count("i-1") + platform.arrival_count("i-2");
+  for (int i = 0; i < 10; ++i) {
+    const absl::Time sent = absl::Now();
+    const CallerAnswer answer = fixture.SendNext();
+    CHECK(answer.status == 503);
+    CHECK(absl::Now() - sent < absl::Seconds(0.5));
+    CHECK(answer.retry_after > absl::Seconds(2));
+    CHECK(answer.retry_after <= absl::Seconds(5));
+  }
+  CHECK(platform.arrival_count("i-1") + platform.arrival_count("i-2") ==
+        arrivals);
+}
+
 // Guards against connections to the store that are lost while they are idle or
 // waiting: they were taken for an outage, after which a server whose entry was
 // removed stayed in use.
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -238,6 +238,36 @@
   CHECK(events.revision == 413);
 }
 
+// Guards against notices of a server that are missed or misread: a pause
+// without end would exclude the server forever.
+TEST_CASE("the notices of a server are read from its answers") {
+  HttpResponse answer = MakeAnswer(200, "");
+  CHECK_FALSE(ReadAnswer(answer).is_leaving);
+  CHECK_FALSE(ReadAnswer(answer).requested_pause.has_value());
+  answer.set("Server-Leaving", "1");
+  answer.set("Retry-After", "3");
+  CHECK(ReadAnswer(answer).is_leaving);
+  CHECK_FALSE(ReadAnswer(answer).requested_pause.has_value());
+  const auto pause = [](const std::string& retry_after) {
+    HttpResponse refusal = MakeAnswer(503, "");
+    refusal.set("Retry-After", retry_after);
+    return ReadAnswer(refusal).requested_pause;
+  };
+  CHECK(pause("3") == absl::Seconds(3));
+  CHECK(pause("0.25") == absl::Milliseconds(250));
+  CHECK(pause("1e300") == absl::Hours(1));
+  CHECK(pause("inf") == absl::Hours(1));
+  for (const char* invalid :
+       {"", "0", "-1", "nan", "soon", "3 s", "Fri, 05 Dec 2026 04:00:00 GMT"}) {
+    CAPTURE(invalid);
+    CHECK_FALSE(pause(invalid).has_value());
+  }
+  for (const char* invalid : {"", "0", "no", "11"}) {
+    answer.set("Server-Leaving", invalid);
+    CHECK_FALSE(ReadAnswer(answer).is_leaving);
+  }
+}
+
 // Guards against forwarding hop-by-hop headers, and against forwarding the
 // caller's deadline without subtracting the elapsed time.
 TEST_CASE("a request is forwarded with the remaining time") {
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -91,6 +91,9 @@
   int announced_port = 0;
   bool is_draining = false;
   bool is_full = false;
+  bool announces_leaving = false;
+  std::string retry_after;  ///< Of refusals; empty for none.
+  int arrivals = 0;
   int dropped_answer_period = 0;
   int runs = 0;
   std::unique_ptr<edge::HttpListener> listener;
@@ -359,6 +362,10 @@
   HttpResponse answer(edge::http::status::ok, 11);
   answer.set("X-Request-Id", id);
   answer.set("X-Server-Load", "1,0,5");
+  ++backend->arrivals;
+  if (backend->announces_leaving) {
+    answer.set("Server-Leaving", "1");
+  }
   if (request["X-Expect-Instance"] != backend->id) {
     answer.result(421);
     answer.prepare_payload();
@@ -368,6 +375,9 @@
   if (backend->is_full) {
     answer.result(503);
     answer.set("X-Not-Executed", "1");
+    if (!backend->retry_after.empty()) {
+      answer.set("Retry-After", backend->retry_after);
+    }
     answer.prepare_payload();
     backend->listener->Answer(exchange, std::move(answer));
     return;
@@ -414,8 +424,17 @@
   RunOnLoop([&] { backends_.at(id)->dropped_answer_period = n; });
 }
 
-void PlatformStandin::SetFull(const std::string& id, bool is_full) {
-  RunOnLoop([&] { backends_.at(id)->is_full = is_full; });
+void PlatformStandin::SetFull(const std::string& id,
+                              bool is_full,
+                              const std::string& retry_after) {
+  RunOnLoop([&] {
+    backends_.at(id)->is_full = is_full;
+    backends_.at(id)->retry_after = retry_after;
+  });
+}
+
+void PlatformStandin::AnnounceLeaving(const std::string& id) {
+  RunOnLoop([&] { backends_.at(id)->announces_leaving = true; });
 }
 
 std::map<std::string, ExecutedRequest> PlatformStandin::executed_requests()
@@ -425,6 +444,18 @@
   return copy;
 }
 
+std::string PlatformStandin::BackendAddress(const std::string& id) const {
+  int port = 0;
+  RunOnLoop([&] { port = backends_.at(id)->announced_port; });
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+int PlatformStandin::arrival_count(const std::string& id) const {
+  int arrivals = 0;
+  RunOnLoop([&] { arrivals = backends_.at(id)->arrivals; });
+  return arrivals;
+}
+
 int PlatformStandin::run_count(const std::string& id) const {
   int runs = 0;
   RunOnLoop([&] { runs = backends_.at(id)->runs; });
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -79,12 +79,23 @@
   void DropEachNthAnswer(const std::string& id, int n);
   /// \brief Sets whether a backend server rejects requests because all its
   /// slots are in use.
-  void SetFull(const std::string& id, bool is_full);
+  /// \param retry_after Retry-After header of the refusals; empty for none.
+  void SetFull(const std::string& id,
+               bool is_full,
+               const std::string& retry_after = "");
+  /// \brief Lets all later answers of a backend server say that it leaves; its
+  /// entry in the store stays as it is.
+  void AnnounceLeaving(const std::string& id);
 
   /// \returns the executions by request id, summed over all backend servers.
   std::map<std::string, ExecutedRequest> executed_requests() const;
   /// \returns the number of watch calls that the store has received.
   int watch_calls() const { return watch_calls_; }
+  /// \returns the address and port of a backend server.
+  std::string BackendAddress(const std::string& id) const;
+  /// \returns the number of requests that reached a backend server, including
+  /// those that it refused.
+  int arrival_count(const std::string& id) const;
   /// \returns the number of executions at one backend server.
   int run_count(const std::string& id) const;
 
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -30,8 +30,12 @@
              [this](const BackendServer& server, absl::Duration pause) {
                paused[server.id] = pause;
              },
+             [this](const BackendServer& server) { paused.erase(server.id); },
              [this](const BackendServer& server) {
-               paused.erase(server.id);
+               leaving.push_back(server.id);
+             },
+             [this](const BackendServer& server, absl::Duration pause) {
+               requested_pauses[server.id] = pause;
              }}) {
     RoutingConfig::Builder builder;
     builder.Version(1).AddService({"s", "/health", 330, absl::Seconds(3), 8});
@@ -55,7 +59,7 @@
     PublishServers(4);
   }
 
-  void PublishServers(int count) {
+  void PublishServers(int count, int64_t incarnation = 1) {
     BackendSet set;
     for (int i = 0; i < count; ++i) {
       BackendServer server;
@@ -63,6 +67,7 @@
       server.service = "s";
       server.zone = "a-1";
       server.slots = 5;
+      server.incarnation = incarnation;
       set.Add(server);
     }
     steering.SetBackends(set);
@@ -89,6 +94,50 @@
     return steering.OnAttemptEnd(end, now);
   }
 
+  /// Sends a request and ends its attempt with the server's notice.
+  /// \returns the server of the attempt; empty if the request was refused.
+  std::string SendWithNotice(RequestId id, const AttemptEnd& notice) {
+    const auto actions = Send("/book/1", id);
+    const StartAttempt* start = Find<StartAttempt>(actions);
+    if (start == nullptr) {
+      return "";
+    }
+    AttemptEnd end = notice;
+    end.attempt = start->attempt;
+    const std::string server = start->server;
+    steering.OnAttemptEnd(end, now);
+    return server;
+  }
+
+  /// \returns the servers of the next 40 requests, which are answered.
+  std::set<std::string> ServersOfNextRequests() {
+    std::set<std::string> servers;
+    for (int i = 0; i < 40; ++i) {
+      servers.insert(SendWithNotice(last_id++, Answered()));
+      now += absl::Milliseconds(5);
+    }
+    return servers;
+  }
+
+  static AttemptEnd Answered() {
+    AttemptEnd end;
+    end.result = AttemptResult::kCompleted;
+    end.status = 200;
+    return end;
+  }
+  static AttemptEnd Leaving() {
+    AttemptEnd end = Answered();
+    end.is_server_leaving = true;
+    return end;
+  }
+  static AttemptEnd Pausing(absl::Duration pause) {
+    AttemptEnd end;
+    end.result = AttemptResult::kRefused;
+    end.status = 503;
+    end.requested_pause = pause;
+    return end;
+  }
+
   /// Sends requests until a request is assigned to the server, and reports a
   /// failed connection for that request.
   void FailConnection(const std::string& server) {
@@ -134,6 +183,9 @@
   RequestRecord last_record;
   std::set<uint64_t> crashing;
   std::map<std::string, absl::Duration> paused;  ///< Pause by server id.
+  std::vector<std::string> leaving;
+  std::map<std::string, absl::Duration> requested_pauses;
+  RequestId last_id = 5000;
   ZoneMap zones;
   Steering steering;
 };
@@ -175,6 +227,94 @@
   CHECK(refuse->retry_after.has_value());
 }
 
+// Guards against new requests to a server that has announced in an answer that
+// it leaves, and against excluding its next incarnation.
+TEST_CASE("a leaving server gets no new requests until it starts again") {
+  Fixture f;
+  f.PublishServers(2);
+  const std::string server = f.SendWithNotice(1, Fixture::Leaving());
+  CHECK(f.leaving == std::vector<std::string>{server});
+  CHECK(f.ServersOfNextRequests().count(server) == 0);
+  SECTION("its entry is written again") {
+    f.PublishServers(2);
+    CHECK(f.ServersOfNextRequests().count(server) == 0);
+  }
+  SECTION("its entry lapses and comes back") {
+    f.PublishServers(0);
+    f.PublishServers(2);
+    CHECK(f.ServersOfNextRequests().count(server) == 0);
+  }
+  SECTION("it starts again") {
+    f.PublishServers(2, 2);
+    f.now += absl::Seconds(30);
+    CHECK(f.ServersOfNextRequests().count(server) == 1);
+  }
+  SECTION("it starts again while its entry is missing") {
+    f.PublishServers(0);
+    f.PublishServers(2, 2);
+    f.now += absl::Seconds(30);
+    CHECK(f.ServersOfNextRequests().count(server) == 1);
+  }
+  CHECK(f.leaving.size() == 1);
+}
+
+// Guards against an answer of another server at a reused address that stops the
+// requests to the server that was meant.
+TEST_CASE("the notice of another server at the address is ignored") {
+  Fixture f;
+  f.PublishServers(1);
+  AttemptEnd end = Fixture::Leaving();
+  end.result = AttemptResult::kRefused;
+  end.is_other_server = true;
+  end.requested_pause = absl::Seconds(60);
+  const std::string server = f.SendWithNotice(1, end);
+  f.now += ServerLoad::kMaxPause + absl::Seconds(4);
+  CHECK(f.ServersOfNextRequests().count(server) == 1);
+  CHECK(f.leaving.empty());
+}
+
+// Guards against requests to a server within the pause that it asked for, and
+// against a later, shorter pause that ends an earlier one.
+TEST_CASE("a server that asked for a pause gets no requests until its end") {
+  Fixture f;
+  f.PublishServers(1);
+  const std::string server =
+      f.SendWithNotice(1, Fixture::Pausing(absl::Seconds(8)));
+  REQUIRE(f.requested_pauses.count(server) == 1);
+  CHECK(f.requested_pauses[server] >= absl::Seconds(8));
+  CHECK(f.requested_pauses[server] <=
+        absl::Seconds(8) + Steering::kMaxPauseSpread);
+  const absl::Time end = f.now + absl::Seconds(8);
+  for (RequestId id = 2; f.now < end; ++id) {
+    const auto actions = f.Send("/book/1", id);
+    CHECK(Fixture::Find<StartAttempt>(actions) == nullptr);
+    const Refuse* refuse = Fixture::Find<Refuse>(actions);
+    REQUIRE(refuse != nullptr);
+    CHECK(refuse->status == 503);
+    CHECK(refuse->reason == "pause-requested");
+    REQUIRE(refuse->retry_after.has_value());
+    CHECK(*refuse->retry_after >= end - f.now);
+    f.now += absl::Milliseconds(50);
+  }
+  f.now += Steering::kMaxPauseSpread;
+  CHECK(f.ServersOfNextRequests().count(server) == 1);
+}
+
+TEST_CASE("a shorter pause does not end a longer one") {
+  Fixture f;
+  f.PublishServers(1);
+  const auto first = f.Send("/book/1", 1);
+  const auto second = f.Send("/book/2", 2);
+  AttemptEnd end = Fixture::Pausing(absl::Seconds(8));
+  end.attempt = Fixture::Find<StartAttempt>(first)->attempt;
+  f.steering.OnAttemptEnd(end, f.now);
+  end = Fixture::Pausing(absl::Milliseconds(200));
+  end.attempt = Fixture::Find<StartAttempt>(second)->attempt;
+  f.steering.OnAttemptEnd(end, f.now);
+  f.now += absl::Seconds(7);
+  CHECK(f.ServersOfNextRequests() == std::set<std::string>{""});
+}
+
 // Guards against a log that does not show why a request was not retried.
 TEST_CASE("the record of a request shows how each attempt was decided") {
   Fixture f;
