Soak: kept pipelined connections, leaving servers, pauses, series of signals

Cause: each caller of the soak opened a connection for each request, so that a request behind the last answer of a connection was never sent. Change: one pipelining caller for each instance uses its connection until it ends; no request behind an answer with "Connection: close" may run. Servers announce their leaving in answers alone or ask for a pause; arrivals are checked against the time of the notice, with restarts, suspensions and cuts excused. Planned stops get further signals on the way.

--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -89,6 +89,7 @@
   result.status = answer.result_int();
   result.body = answer.body();
   result.is_signed = answer.find("X-Server-Stamp") != answer.end();
+  result.is_server_leaving = answer["Server-Leaving"] == "1";
   double seconds = 0;
   if (absl::SimpleAtod(std::string(answer["Retry-After"]), &seconds)) {
     result.retry_after = absl::Seconds(seconds);
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -19,6 +19,7 @@
   int status = 0;
   std::string body;
   bool is_signed = false;
+  bool is_server_leaving = false;  ///< The backend server announced it.
   absl::Duration retry_after;
 };
 
--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -10,17 +10,25 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
+#include "absl/types/span.h"
 #include "base/base.h"
 #include "gateway_fleet.h"
 #include "loopback_proxy.h"
+#include "pipelining_caller.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "random seed of the injected faults");
 ABSL_FLAG(int, seconds, 20, "duration of the fault injection");
@@ -40,9 +48,41 @@
 /// as recovered.
 constexpr int kRequiredSuccesses = 20;
 
+/// Time after an answer that announces a server's leaving until which requests
+/// may still reach the server.
+constexpr absl::Duration kMaxDrainTime = absl::Milliseconds(2500);
+/// Time after a refusal with a pause until which requests may still reach the
+/// server, and the number of requests that may do so later.
+constexpr absl::Duration kPauseDelay = absl::Milliseconds(500);
+constexpr int kMaxRequestsInPause = 2;
+/// First part of the ids of pipelined requests; the instance is the next one.
+constexpr char kPipelinedName[] = "kept";
+
 struct SentRequest {
   bool is_booking = false;
   int status = 0;
+  int instance = 0;
+  absl::Time sent_at;
+  absl::Time answered_at;
+  std::string server;  ///< Server that ran the request, if it was answered.
+  bool is_server_leaving = false;
+};
+
+/// Times at which something was disturbed that excuses later behaviour.
+class Disturbances {
+ public:
+  void Add(const std::string& what, absl::Time at) {
+    times_[what].push_back(at);
+  }
+  bool Any(const std::string& what, absl::Time begin, absl::Time end) const {
+    const auto times = times_.find(what);
+    return times != times_.end() &&
+           std::any_of(times->second.begin(), times->second.end(),
+                       [&](absl::Time at) { return begin <= at && at <= end; });
+  }
+
+ private:
+  std::map<std::string, std::vector<absl::Time>> times_;
 };
 
 class Soak {
@@ -76,6 +116,10 @@
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { SendRequests(i); });
     }
+    for (int i = 0; i < instances_; ++i) {
+      pipelining_callers_.push_back(std::make_unique<PipeliningCaller>(
+          fleet_.caller_port(Name(i)), absl::StrCat(kPipelinedName, "-", i)));
+    }
     const absl::Time end = absl::Now() + length;
     while (absl::Now() < end) {
       absl::SleepFor(absl::Milliseconds(100 + random_.Below(600)));
@@ -88,11 +132,21 @@
     for (std::thread& caller : callers) {
       caller.join();
     }
+    int kept_answers = 0;
+    for (const auto& caller : pipelining_callers_) {
+      caller->Stop();
+      kept_answers += caller->answer_count();
+    }
     CheckRuns();
+    CheckPipelinedRequests();
+    CheckLeavingServers();
+    CheckPauses();
     CheckLogs();
     std::cout << "requests=" << sent_requests_.size()
-              << " faults=" << fault_count_ << " violations=" << violations_
-              << "\n";
+              << " pipelined=" << kept_answers
+              << " leaving_checks=" << leaving_checks_
+              << " pause_checks=" << pause_checks_ << " faults=" << fault_count_
+              << " violations=" << violations_ << "\n";
     return violations_ == 0 ? 0 : 1;
   }
 
@@ -128,6 +182,10 @@
       const std::string id = absl::StrCat("id-", caller, "-", i);
       const bool is_booking = random.Below(2) == 0;
       const int instance = static_cast<int>(random.Below(instances_));
+      SentRequest sent;
+      sent.is_booking = is_booking;
+      sent.instance = instance;
+      sent.sent_at = absl::Now();
       const CallerAnswer answer =
           Call(fleet_.caller_port(Name(instance)), is_booking ? "POST" : "GET",
                is_booking ? "/book/x" : "/read/x",
@@ -143,8 +201,12 @@
       }
       CheckGuarantee(answer.status != 404,
                      absl::StrCat(id, " is not answered with 404"));
+      sent.answered_at = absl::Now();
+      sent.status = answer.status;
+      sent.server = answer.body.substr(0, answer.body.find(' '));
+      sent.is_server_leaving = answer.is_server_leaving;
       std::lock_guard<std::mutex> lock(mutex_);
-      sent_requests_[id] = {is_booking, answer.status};
+      sent_requests_[id] = sent;
     }
   }
 
@@ -152,7 +214,12 @@
     ++fault_count_;
     const int instance = static_cast<int>(random_.Below(instances_));
     ChildProcess& process = fleet_.process(Name(instance));
-    switch (random_.Below(14)) {
+    const absl::Time fault_begin = absl::Now();
+    const uint64_t fault = random_.Below(17);
+    if (fault <= 2) {
+      disturbances_.Add(Name(instance), fault_begin);
+    }
+    switch (fault) {
       case 0:
         Print(absl::StrCat("kill ", instance));
         process.Signal(SIGKILL);
@@ -213,6 +280,15 @@
       case 12:
         InjectBackendConnectionFault();
         break;
+      case 13:
+        AnnounceLeaving();
+        break;
+      case 14:
+        RequestPause();
+        break;
+      case 15:
+        StopUnderLoad(instance);
+        break;
       default: {
         const std::string& server =
             live_servers_[random_.Below(live_servers_.size())];
@@ -230,6 +306,11 @@
                                ProxyMode::kSilent, ProxyMode::kDropReplies};
     const size_t mode = random_.Below(5);
     Print(absl::StrCat("connections of backend ", index + 1, " mode ", mode));
+    const std::string server = absl::StrCat("server-", index + 1);
+    disturbances_.Add(server, absl::Now());
+    if (mode != 0 && mode != 4) {
+      cut_servers_.insert(server);
+    }
     if (mode == 4) {
       backend_proxies_[index]->Reset();
     } else {
@@ -237,6 +318,43 @@
     }
   }
 
+  /// A server announces its leaving only in its answers, and another one takes
+  /// its place.
+  void AnnounceLeaving() {
+    const size_t index = random_.Below(live_servers_.size());
+    const std::string server = live_servers_[index];
+    live_servers_.erase(live_servers_.begin() + index);
+    AddBackend();
+    Print(absl::StrCat(server, " announces its leaving"));
+    fleet_.platform().AnnounceLeaving(server);
+  }
+
+  /// A server refuses requests for a moment and asks for a longer pause.
+  void RequestPause() {
+    const std::string server =
+        live_servers_[random_.Below(live_servers_.size())];
+    const double pause_s = 1 + 0.1 * static_cast<double>(random_.Below(30));
+    Print(absl::StrCat(server, " asks for a pause of ", pause_s, " s"));
+    fleet_.platform().SetFull(server, true, absl::StrCat(pause_s));
+    absl::SleepFor(absl::Milliseconds(300));
+    fleet_.platform().SetFull(server, false);
+  }
+
+  /// A planned stop, with further signals on the way.
+  void StopUnderLoad(int instance) {
+    Print(absl::StrCat("graceful shutdown with further signals ", instance));
+    disturbances_.Add(Name(instance), absl::Now());
+    ChildProcess& process = fleet_.process(Name(instance));
+    process.Signal(SIGCONT);
+    process.Signal(SIGHUP);
+    process.Signal(SIGTERM);
+    absl::SleepFor(absl::Milliseconds(random_.Below(800)));
+    process.Signal(random_.Below(2) == 0 ? SIGTERM : SIGHUP);
+    CheckGuarantee(process.Wait() == 0, "a graceful shutdown exits with 0");
+    disturbances_.Add(Name(instance), absl::Now());
+    fleet_.Restart(Name(instance));
+  }
+
   void ReplaceBackend() {
     const size_t index = random_.Below(live_servers_.size());
     const std::string server = live_servers_[index];
@@ -298,6 +416,113 @@
     }
   }
 
+  /// A request behind an answer with "Connection: close" counts as not read,
+  /// and is sent again by its caller.
+  void CheckPipelinedRequests() {
+    const auto executed = fleet_.platform().executed_requests();
+    for (const auto& caller : pipelining_callers_) {
+      CheckGuarantee(caller->misplaced_answer_count() == 0,
+                     "answers arrive in the order of the requests");
+      for (const std::string& id : caller->ids_behind_close()) {
+        CheckGuarantee(executed.count(id) == 0,
+                       absl::StrCat(id, " behind a closing answer never runs"));
+      }
+    }
+  }
+
+  /// \returns whether the instance was restarted or suspended in this time.
+  bool WasDisturbed(int instance, absl::Time begin, absl::Time end) const {
+    return disturbances_.Any(Name(instance), begin, end);
+  }
+
+  void CheckLeavingServers() {
+    using Sender = std::pair<int, std::string>;  // Instance and server.
+    std::map<Sender, absl::Time> announced_at;
+    for (const auto& [id, sent] : sent_requests_) {
+      if (sent.status != 200 || !sent.is_server_leaving) {
+        continue;
+      }
+      const auto known = announced_at.emplace(
+          Sender(sent.instance, sent.server), sent.answered_at);
+      absl::Time& first = known.first->second;
+      first = std::min(first, sent.answered_at);
+    }
+    for (const BackendArrival& arrival : fleet_.platform().arrivals()) {
+      const auto sent = sent_requests_.find(arrival.id);
+      if (sent == sent_requests_.end()) {
+        continue;
+      }
+      const int instance = sent->second.instance;
+      const auto announced =
+          announced_at.find(Sender(instance, arrival.server));
+      if (announced == announced_at.end()) {
+        continue;
+      }
+      ++leaving_checks_;
+      const bool is_late =
+          sent->second.sent_at > announced->second + kMaxDrainTime;
+      CheckGuarantee(
+          !is_late || WasDisturbed(instance, announced->second, arrival.at),
+          absl::StrCat(arrival.id, " is not sent to ", arrival.server,
+                       ", which has announced its leaving"));
+    }
+  }
+
+  /// \returns the instance that received the request; nullopt if unknown.
+  std::optional<int> InstanceOf(const std::string& id) const {
+    if (const auto sent = sent_requests_.find(id);
+        sent != sent_requests_.end()) {
+      return sent->second.instance;
+    }
+    const std::vector<std::string> parts = absl::StrSplit(id, '-');
+    int instance = 0;
+    const bool is_pipelined = parts.size() == 3 && parts[0] == kPipelinedName &&
+                              absl::SimpleAtoi(parts[1], &instance);
+    return is_pipelined ? std::make_optional(instance) : std::nullopt;
+  }
+
+  void CheckPauses() {
+    const std::vector<BackendArrival> arrivals = fleet_.platform().arrivals();
+    for (size_t i = 0; i < arrivals.size(); ++i) {
+      const BackendArrival& refused = arrivals[i];
+      const std::optional<int> instance = InstanceOf(refused.id);
+      const bool is_cut = cut_servers_.count(refused.server) > 0;
+      if (refused.requested_pause == absl::ZeroDuration() || is_cut ||
+          !instance) {
+        continue;
+      }
+      ++pause_checks_;
+      CheckPause(*instance, refused,
+                 absl::MakeConstSpan(arrivals).subspan(i + 1));
+    }
+  }
+
+  /// \param later the arrivals after the refusal.
+  void CheckPause(int instance,
+                  const BackendArrival& refused,
+                  absl::Span<const BackendArrival> later) {
+    const absl::Time begin = refused.at + kPauseDelay;
+    const absl::Time end = refused.at + refused.requested_pause;
+    if (WasDisturbed(instance, refused.at - kMaxDrainTime, end) ||
+        disturbances_.Any(refused.server, refused.at - kMaxDrainTime, end)) {
+      return;
+    }
+    int count = 0;
+    for (const BackendArrival& arrival : later) {
+      if (arrival.at > end) {
+        break;
+      }
+      const bool is_counted = arrival.server == refused.server &&
+                              arrival.at > begin &&
+                              InstanceOf(arrival.id) == instance;
+      count += is_counted ? 1 : 0;
+    }
+    CheckGuarantee(
+        count <= kMaxRequestsInPause,
+        absl::StrCat(count, " requests of ", Name(instance), " reach ",
+                     refused.server, " in the pause after ", refused.id));
+  }
+
   void CheckLogs() {
     for (const std::string& finding : fleet_.LogFindings()) {
       CheckGuarantee(false, finding);
@@ -333,6 +558,12 @@
   int last_probe_id_ = 0;
   int version_ = 1;
   int fault_count_ = 0;
+  int leaving_checks_ = 0;
+  int pause_checks_ = 0;
+  std::vector<std::unique_ptr<PipeliningCaller>> pipelining_callers_;
+  Disturbances disturbances_;
+  /// Servers whose connections were silent or delayed at some time.
+  std::set<std::string> cut_servers_;
   std::atomic<bool> is_stopping_{false};
   std::mutex mutex_;
   std::map<std::string, SentRequest> sent_requests_;
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
 #include "free_port.h"
 
 namespace baobabwall::test {
@@ -362,7 +363,6 @@
   HttpResponse answer(edge::http::status::ok, 11);
   answer.set("X-Request-Id", id);
   answer.set("X-Server-Load", "1,0,5");
-  ++backend->arrivals;
   if (backend->announces_leaving) {
     answer.set("Server-Leaving", "1");
   }
@@ -372,11 +372,20 @@
     backend->listener->Answer(exchange, std::move(answer));
     return;
   }
+  ++backend->arrivals;
+  BackendArrival& arrival = arrivals_.emplace_back();
+  arrival.server = backend->id;
+  arrival.id = id;
+  arrival.at = absl::Now();
   if (backend->is_full) {
     answer.result(503);
     answer.set("X-Not-Executed", "1");
     if (!backend->retry_after.empty()) {
       answer.set("Retry-After", backend->retry_after);
+      double seconds = 0;
+      if (absl::SimpleAtod(backend->retry_after, &seconds)) {
+        arrival.requested_pause = absl::Seconds(seconds);
+      }
     }
     answer.prepare_payload();
     backend->listener->Answer(exchange, std::move(answer));
@@ -444,6 +453,12 @@
   return copy;
 }
 
+std::vector<BackendArrival> PlatformStandin::arrivals() const {
+  std::vector<BackendArrival> copy;
+  RunOnLoop([&] { copy = arrivals_; });
+  return copy;
+}
+
 std::string PlatformStandin::BackendAddress(const std::string& id) const {
   int port = 0;
   RunOnLoop([&] { port = backends_.at(id)->announced_port; });
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -24,6 +24,15 @@
   std::string body;
 };
 
+/// \brief A request that reached a backend server of a PlatformStandin.
+struct BackendArrival {
+  std::string server;
+  std::string id;
+  absl::Time at;
+  /// Pause that the server asked for when it refused the request.
+  absl::Duration requested_pause;
+};
+
 /// \brief Fault that the store simulates.
 enum class StoreMode {
   kUp,
@@ -89,6 +98,8 @@
 
   /// \returns the executions by request id, summed over all backend servers.
   std::map<std::string, ExecutedRequest> executed_requests() const;
+  /// \returns all arrivals in the order of their time.
+  std::vector<BackendArrival> arrivals() const;
   /// \returns the number of watch calls that the store has received.
   int watch_calls() const { return watch_calls_; }
   /// \returns the address and port of a backend server.
@@ -133,6 +144,7 @@
   std::map<std::string, std::unique_ptr<Backend>> backends_;
   std::vector<std::unique_ptr<Backend>> crashed_;
   std::map<std::string, ExecutedRequest> executed_requests_;
+  std::vector<BackendArrival> arrivals_;
   std::thread thread_;
 };
 
