Soak: keep the fault sequences of the regression seeds

Cause: new kinds of faults change which faults a seed draws, so that seeds 236 and 243 no longer repeated what they had failed with.

--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -1,5 +1,5 @@
 // Randomized soak test of real gateway processes with injected faults.
-// gateway_soak --seed=N --seconds=N [--instances=N]
+// gateway_soak --seed=N --seconds=N [--instances=N] [--fault_kinds=N]
 // With more than eight instances, a few of them read the store for the others.
 // Prints the seed, the injected faults and each violated guarantee; the exit
 // code is 1 if a guarantee was violated.
@@ -33,6 +33,11 @@
 ABSL_FLAG(uint64_t, seed, 1, "random seed of the injected faults");
 ABSL_FLAG(int, seconds, 20, "duration of the fault injection");
 ABSL_FLAG(int, instances, 3, "number of gateway processes");
+ABSL_FLAG(uint64_t,
+          fault_kinds,
+          17,
+          "number of kinds of faults; a seed that failed with fewer kinds "
+          "repeats its faults only with that number");
 
 namespace baobabwall::test {
 namespace {
@@ -87,9 +92,10 @@
 
 class Soak {
  public:
-  Soak(uint64_t seed, int instances)
+  Soak(uint64_t seed, int instances, uint64_t fault_kinds)
       : random_(seed),
         instances_(instances),
+        fault_kinds_(fault_kinds),
         fleet_(absl::StrCat("soak-", seed)),
         store_proxy_(fleet_.platform().store_port()),
         start_time_(absl::Now()) {
@@ -215,7 +221,7 @@
     const int instance = static_cast<int>(random_.Below(instances_));
     ChildProcess& process = fleet_.process(Name(instance));
     const absl::Time fault_begin = absl::Now();
-    const uint64_t fault = random_.Below(17);
+    const uint64_t fault = random_.Below(fault_kinds_);
     if (fault <= 2) {
       disturbances_.Add(Name(instance), fault_begin);
     }
@@ -280,13 +286,13 @@
       case 12:
         InjectBackendConnectionFault();
         break;
-      case 13:
+      case 14:
         AnnounceLeaving();
         break;
-      case 14:
+      case 15:
         RequestPause();
         break;
-      case 15:
+      case 16:
         StopUnderLoad(instance);
         break;
       default: {
@@ -549,6 +555,7 @@
 
   base::Random random_;
   int instances_;
+  uint64_t fault_kinds_;
   std::vector<std::unique_ptr<LoopbackProxy>> backend_proxies_;
   GatewayFleet fleet_;
   LoopbackProxy store_proxy_;
@@ -577,6 +584,7 @@
   absl::ParseCommandLine(argc, argv);
   const uint64_t seed = absl::GetFlag(FLAGS_seed);
   std::cout << "seed=" << seed << "\n";
-  baobabwall::test::Soak soak(seed, absl::GetFlag(FLAGS_instances));
+  baobabwall::test::Soak soak(seed, absl::GetFlag(FLAGS_instances),
+                              absl::GetFlag(FLAGS_fault_kinds));
   return soak.Run(absl::Seconds(absl::GetFlag(FLAGS_seconds)));
 }
