Mend what the linter finds, and the order of a class

Cause: local constants of three tests had the case of global ones; StoreLink's read state stood between two functions.

--- a/packages/edge/src/store_link.cc
+++ b/packages/edge/src/store_link.cc
@@ -82,6 +82,12 @@
   }
 
  private:
+  /// State of a read; lives as long as the read is pending.
+  struct PendingRead {
+    boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
+    http::response_parser<http::string_body> parser;
+  };
+
   void StartTimer() {
     timer_.expires_after(std::chrono::milliseconds(
         absl::ToInt64Milliseconds(TimeoutOf(call_.request))));
@@ -113,12 +119,6 @@
                           });
   }
 
-  /// State of a read; lives as long as the read is pending.
-  struct PendingRead {
-    boost::beast::flat_buffer buffer{kMaxUnparsedBytes};
-    http::response_parser<http::string_body> parser;
-  };
-
   absl::Duration TimeoutOf(const control::StoreRequest& request) const {
     if (const auto* watch = std::get_if<control::StoreWatch>(&request)) {
       return watch->timeout + link_->timeouts_.answer;
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -135,9 +135,10 @@
     absl::Time sent_at;
   };
 
+  /// The end of a call, for the log.
   struct EndedCall {
-    absl::string_view name;
-    bool is_refused = false;
+    absl::string_view name;   ///< See CallName().
+    bool is_refused = false;  ///< The store or the instance rejected the call.
   };
 
   void Call(CallOwner owner, control::StoreRequest request);
--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -292,7 +292,7 @@
 // waiting: they were taken for an outage, after which a server whose entry was
 // removed stayed in use.
 TEST_CASE("lost connections to the store do not keep a removed server in use") {
-  constexpr absl::Duration kDrainLimit = absl::Milliseconds(2500);
+  constexpr absl::Duration drain_limit = absl::Milliseconds(2500);
   GatewayFleet fleet("lost-connections");
   LoopbackProxy store(fleet.platform().store_port());
   fleet.SetStorePort(store.port());
@@ -320,7 +320,7 @@
   SECTION("the connection of a watch that waits") {}
   store.Reset();
   fleet.platform().Delete("servers/i-1");
-  absl::SleepFor(kDrainLimit);
+  absl::SleepFor(drain_limit);
   const int runs = fleet.platform().run_count("i-1");
   send("after");
   CHECK(fleet.platform().run_count("i-1") == runs);
--- a/test/heartbeat_test.cc
+++ b/test/heartbeat_test.cc
@@ -68,16 +68,16 @@
 // Guards against a datagram that ends the process by stack overflow: the
 // decoder is recursive.
 TEST_CASE("a deeply nested datagram is rejected") {
-  constexpr uint8_t kArrayOfOne = 0x91;
-  constexpr uint8_t kMapOfOneWithEmptyKey[] = {0x81, 0xa0};
-  constexpr size_t kMaxDatagramBytes = 65'507;
+  constexpr uint8_t array_of_one = 0x91;
+  constexpr uint8_t map_of_one_with_empty_key[] = {0x81, 0xa0};
+  constexpr size_t max_datagram_bytes = 65'507;
   CHECK_FALSE(
-      Heartbeat::Decode(std::vector<uint8_t>(kMaxDatagramBytes, kArrayOfOne))
+      Heartbeat::Decode(std::vector<uint8_t>(max_datagram_bytes, array_of_one))
           .has_value());
   std::vector<uint8_t> maps;
-  while (maps.size() + 2 < kMaxDatagramBytes) {
-    maps.insert(maps.end(), std::begin(kMapOfOneWithEmptyKey),
-                std::end(kMapOfOneWithEmptyKey));
+  while (maps.size() + 2 < max_datagram_bytes) {
+    maps.insert(maps.end(), std::begin(map_of_one_with_empty_key),
+                std::end(map_of_one_with_empty_key));
   }
   CHECK_FALSE(Heartbeat::Decode(maps).has_value());
 }
--- a/test/relay_codec_test.cc
+++ b/test/relay_codec_test.cc
@@ -146,9 +146,9 @@
 
 // Guards against a crash by stack overflow: the decoder is recursive.
 TEST_CASE("deeply nested answers of other instances are rejected") {
-  constexpr char kArrayOfOne = '\x91';
+  constexpr char array_of_one = '\x91';
   HttpResponse response(http::status::ok, 11);
-  response.body() = std::string(10'000'000, kArrayOfOne);
+  response.body() = std::string(10'000'000, array_of_one);
   CHECK(DecodeRelayAnswer(response).status == StoreStatus::kUnknown);
 }
 
