--- a/test/gateway_process_test.cc
+++ b/test/gateway_process_test.cc
@@ -130,36 +130,37 @@
 
 // Guards against an entry of another writer that ends the processes that read
 // it, that is used as a server, or that hides the other entries.
-TEST_CASE("odd entries among the servers do not stop an instance") {
-  GatewayFleet fleet("odd-entries");
+TEST_CASE("malformed entries of servers do not stop an instance") {
+  GatewayFleet fleet("malformed-entries");
   fleet.PutConfig(1);
   fleet.platform().AddBackend("i-1", "s", "a-1", absl::Milliseconds(1));
-  const auto put_odd_entry = [&](const std::string& id,
-                                 const std::string& address,
-                                 const std::string& further_fields) {
+  const auto put_malformed_entry = [&](const std::string& id,
+                                       const std::string& address,
+                                       const std::string& further_fields) {
     fleet.platform().Put(
         absl::StrCat("servers/", id),
         absl::StrCat(R"({"service":"s","zone":"a-1","state":"ready",)",
                      R"("address":")", address, "\",", further_fields, "}"));
   };
-  const auto put_odd_entries = [&](const std::string& suffix) {
+  const auto put_malformed_entries = [&](const std::string& suffix) {
     const std::string deep =
         absl::StrCat(std::string(300'000, '['), std::string(300'000, ']'));
     const std::string address = "127.0.0.1:1";
-    put_odd_entry("odd-slots" + suffix, address, R"("capacity_slots":1e300)");
-    put_odd_entry("odd-deep" + suffix, address,
-                  absl::StrCat(R"("capacity_slots":)", deep));
-    put_odd_entry("odd-port" + suffix, "127.0.0.1:70000",
-                  R"("capacity_slots":5)");
-    put_odd_entry("i-2" + suffix, address,
-                  R"("capacity_slots":5,"born":9223372036854775807)");
-    fleet.platform().Put("servers/odd-bytes" + suffix, "\xff\x00[{");
+    put_malformed_entry("bad-slots" + suffix, address,
+                        R"("capacity_slots":1e300)");
+    put_malformed_entry("bad-deep" + suffix, address,
+                        absl::StrCat(R"("capacity_slots":)", deep));
+    put_malformed_entry("bad-port" + suffix, "127.0.0.1:70000",
+                        R"("capacity_slots":5)");
+    put_malformed_entry("i-2" + suffix, address,
+                        R"("capacity_slots":5,"born":9223372036854775807)");
+    fleet.platform().Put("servers/bad-bytes" + suffix, "\xff\x00[{");
   };
-  put_odd_entries("");
+  put_malformed_entries("");
   fleet.Start("one", "a-1");
   REQUIRE(fleet.WaitReady("one"));
-  put_odd_entries("-later");
-  // A proper entry replaces the odd one of the same id.
+  put_malformed_entries("-later");
+  // A valid entry replaces the malformed one of the same id.
   fleet.platform().AddBackend("i-2", "s", "a-1", absl::Milliseconds(1));
   CHECK(WaitFor([&] {
     return absl::StrContains(fleet.Log("one"),
@@ -171,8 +172,8 @@
     CHECK(Send(fleet.caller_port("one"), "/read/x", id).status == 200);
     return fleet.platform().run_count("i-2") > 0;
   }));
-  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "server added server=odd-"));
-  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "paused server=odd-"));
+  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "server added server=bad-"));
+  CHECK_FALSE(absl::StrContains(fleet.Log("one"), "paused server=bad-"));
   CHECK(fleet.LogFindings().empty());
 }
 
