Add client accounts and fleet-wide quotas to the gateway

Cause: the gateway knew no client accounts. It accepted every API key, passed keys on to backend servers, and kept neither quotas nor the regions of an account.

Change: a configuration may have client accounts. Requests without a known key are rejected with 401, the key is removed, and the account's name is set in its place on each attempt. Regions of route and account are intersected, and the account's priority replaces the route's. Quotas are kept by tokens that accrue in equal parts in the instances that the directory names, and that instances give to each other where they are needed. A lost message or process only loses tokens, so the bound holds without a central allocator.

--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -143,7 +143,8 @@
       return;
     }
     forwarded_request_ = client_->dialect_->forward_request(
-        *request_, start_.server, deadline_ - transport::SteadyNow());
+        *request_,
+        {start_.server, deadline_ - transport::SteadyNow(), start_.identity});
     http::async_write(
         connection_->socket, forwarded_request_,
         [self = shared_from_this()](error_code error, size_t bytes) {
--- a/packages/edge/src/dialect.h
+++ b/packages/edge/src/dialect.h
@@ -29,6 +29,15 @@
   std::optional<absl::Duration> keep_alive;
 };
 
+/// \brief What the request to a backend server says beside the caller's
+/// request.
+struct ForwardOptions {
+  /// Id of the backend server that must run the request.
+  absl::string_view server;
+  absl::Duration time_left;  ///< Time until the deadline of the answer.
+  gateway::CallerIdentity identity;
+};
+
 /// \brief Translates between the gateway's types and the messages of the
 /// platform that the gateway runs on. All functions must be set, and none of
 /// them may do I/O.
@@ -39,12 +48,14 @@
   std::function<gateway::CallerRequest(const HttpRequest& request)>
       read_request;
 
+  /// \returns the credentials in the head of a request, which refer to the
+  /// text of the head.
+  std::function<gateway::Credentials(const http::fields& headers)>
+      read_credentials;
+
   /// \returns the request to send to a backend server.
-  /// \param server id of the backend server that must run the request.
-  /// \param time_left time until the deadline of the answer.
   std::function<HttpRequest(const HttpRequest& request,
-                            absl::string_view server,
-                            absl::Duration time_left)>
+                            const ForwardOptions& options)>
       forward_request;
 
   std::function<BackendAnswer(const HttpResponse& answer)> read_answer;
--- a/packages/edge/src/peer_channel.cc
+++ b/packages/edge/src/peer_channel.cc
@@ -9,8 +9,12 @@
 
 using boost::system::error_code;
 
-PeerChannel::PeerChannel(asio::io_context* io, HeartbeatCallback on_heartbeat)
-    : on_heartbeat_(std::move(on_heartbeat)), socket_(*io) {}
+PeerChannel::PeerChannel(asio::io_context* io,
+                         HeartbeatCallback on_heartbeat,
+                         QuotaMessageCallback on_quota_message)
+    : on_heartbeat_(std::move(on_heartbeat)),
+      on_quota_message_(std::move(on_quota_message)),
+      socket_(*io) {}
 
 bool PeerChannel::Open(const gateway::Endpoint& address) {
   const auto endpoint = ToAsio<udp>(address);
@@ -39,18 +43,29 @@
           return;
         }
         if (!error) {
-          const auto heartbeat = gateway::Heartbeat::Decode(
-              absl::MakeConstSpan(receive_buffer_.data(), size));
-          if (heartbeat) {
-            on_heartbeat_(*heartbeat);
-          } else {
-            LOG(WARNING) << "peer: unreadable datagram bytes=" << size;
-          }
+          OnDatagram(absl::MakeConstSpan(receive_buffer_.data(), size));
         }
         Receive();
       });
 }
 
+void PeerChannel::OnDatagram(absl::Span<const uint8_t> datagram) {
+  if (const auto heartbeat = gateway::Heartbeat::Decode(datagram)) {
+    on_heartbeat_(*heartbeat);
+  } else if (const auto message = gateway::QuotaMessage::Decode(datagram)) {
+    on_quota_message_(*message);
+  } else {
+    LOG(WARNING) << "peer: unreadable datagram bytes=" << datagram.size();
+  }
+}
+
+void PeerChannel::Send(
+    absl::Span<const gateway::AccountQuotas::Outgoing> messages) {
+  for (const gateway::AccountQuotas::Outgoing& outgoing : messages) {
+    SendTo(outgoing.receiver, outgoing.message.Encode());
+  }
+}
+
 void PeerChannel::Send(
     const gateway::Heartbeat& heartbeat,
     absl::Span<const gateway::PeerTable::Receiver> receivers) {
--- a/packages/edge/src/request_log.cc
+++ b/packages/edge/src/request_log.cc
@@ -52,6 +52,17 @@
   return "unknown";
 }
 
+/// \returns an empty text if the request has no account.
+std::string FormatAccount(const gateway::RequestRecord& record) {
+  if (record.account.empty()) {
+    return "";
+  }
+  return absl::StrCat(" account=", base::SanitizeForLog(record.account),
+                      " quota_tokens=", record.quota_tokens,
+                      " quota_report_age_ms=",
+                      absl::ToInt64Milliseconds(record.quota_report_age));
+}
+
 std::string FormatAttempt(const gateway::AttemptRecord& attempt) {
   const std::string load_age_ms =
       attempt.load_age
@@ -78,6 +89,7 @@
   return absl::StrCat(
       "route: ended request=", base::SanitizeForLog(record.request->caller_id),
       " route=", record.route, " service=", record.service,
+      internal::FormatAccount(record),
       " object=", absl::Hex(record.request->object),
       " config=", record.config_version, " state=", state_revision,
       " status=", record.status, " reason=", record.reason,
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -13,7 +13,9 @@
 namespace internal {
 
 base::Outcome OutcomeOf(int status) {
-  if (status == gateway::kHttpUnavailable) {
+  if (status == gateway::kHttpUnavailable ||
+      status == gateway::kHttpUnauthorized ||
+      status == gateway::kHttpTooManyRequests) {
     return base::Outcome::kNotRun;
   }
   const bool is_unknown = status == 0 || status == gateway::kHttpBadGateway ||
@@ -63,7 +65,8 @@
                        << " service=" << server.service
                        << " incarnation=" << server.incarnation
                        << " ms=" << absl::ToInt64Milliseconds(pause);
-           }}),
+           }},
+          self_.incarnation),
       peers_(self_.name, self_.zone, self_.region),
       request_log_(settings.log_lines_per_s),
       caller_listener_(
@@ -95,13 +98,19 @@
                              std::optional<HttpResponse> answer) {
                         OnAttemptEnd(end, std::move(answer));
                       }),
-      peer_channel_(&io_,
-                    [this](const gateway::Heartbeat& heartbeat) {
-                      peers_.OnHeartbeat(heartbeat, transport::SteadyNow());
-                    }),
+      peer_channel_(
+          &io_,
+          [this](const gateway::Heartbeat& heartbeat) {
+            peers_.OnHeartbeat(heartbeat, transport::SteadyNow());
+          },
+          [this](const gateway::QuotaMessage& message) {
+            steering_.quotas().OnMessage(message, transport::SteadyNow());
+          }),
       timer_(io_) {
   SetRetryBound(
       {settings.retry_ratio, settings.retry_extra, settings.retry_window});
+  steering_.quotas().SetBound(
+      {settings.quota_window, settings.quota_overshoot, settings.quota_slack});
   AddMetrics();
 }
 
@@ -161,6 +170,7 @@
   if (view_->config != nullptr &&
       (previous == nullptr || previous->config != view_->config)) {
     steering_.SetConfig(view_->config);
+    steering_.quotas().SetAccounts(view_->config->accounts(), now);
     caller_listener_.SetLimits(view_->config->limits());
   }
   steering_.SetBackends(*view_->backends);
@@ -168,6 +178,7 @@
   if (previous == nullptr || previous->instances != view_->instances) {
     peers_.SetRecords(*view_->instances, now);
     are_records_changed_ = true;
+    UpdateQuotaInstances(now);
   }
   if (previous == nullptr ||
       previous->crashing_requests != view_->crashing_requests) {
@@ -234,9 +245,13 @@
     UpdatePeerLoads(now);
     UpdatePlans(now);
   }
+  const gateway::Credentials credentials =
+      dialect_->read_credentials(*pending.request);
   request_by_exchange_.emplace(exchange, caller_request.id);
   pending_requests_.emplace(caller_request.id, std::move(pending));
-  PerformActions(steering_.OnRequest(std::move(caller_request), now), nullptr);
+  PerformActions(
+      steering_.OnRequest(std::move(caller_request), now, credentials),
+      nullptr);
 }
 
 void TrafficLoop::OnAttemptEnd(const gateway::AttemptEnd& end,
@@ -412,6 +427,7 @@
                                   static_cast<int>(slots * 1000));
   }
   peer_channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat, now));
+  peer_channel_.Send(steering_.quotas().DueMessages(now));
   if (heartbeat.is_active) {
     UpdatePeerLoads(now);
     steering_.balancer().AdoptPlans(peers_.LeaderShares(now));
@@ -426,6 +442,19 @@
   steering_.balancer().SetPeerLoads(peers_.Loads(now));
 }
 
+void TrafficLoop::UpdateQuotaInstances(absl::Time now) {
+  const std::vector<gateway::InstanceRecord>& records = *view_->instances;
+  const bool was_announced =
+      std::any_of(records.begin(), records.end(),
+                  [this](const gateway::InstanceRecord& record) {
+                    return record.name == self_.name &&
+                           record.incarnation < self_.incarnation;
+                  });
+  std::vector<gateway::InstanceRecord> announced = peers_.Announced();
+  announced.push_back(self_);
+  steering_.quotas().SetInstances(std::move(announced), was_announced, now);
+}
+
 void TrafficLoop::UpdatePlans(absl::Time now) {
   auto demand = peers_.Demand(now);
   for (const auto& [service, slots] : steering_.Demand(now)) {
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -122,6 +122,8 @@
   /// Updates what the placement of requests knows of the other instances'
   /// requests.
   void UpdatePeerLoads(absl::Time now);
+  /// Updates the instances that share the quotas of the client accounts.
+  void UpdateQuotaInstances(absl::Time now);
   void UpdatePlans(absl::Time now);
   static void LogPeerChanges(
       absl::Span<const gateway::PeerTable::Change> changes);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -4,10 +4,13 @@
 /// \brief Umbrella header of the gateway package: decisions of an instance that
 /// connects to the backend servers of all zones itself.
 
+#include "gateway/src/account_quotas.h"
+#include "gateway/src/authorization.h"
 #include "gateway/src/backend_registry.h"
 #include "gateway/src/backend_server.h"
 #include "gateway/src/balancer.h"
 #include "gateway/src/cached_objects.h"
+#include "gateway/src/client_account.h"
 #include "gateway/src/demand_meter.h"
 #include "gateway/src/directory.h"
 #include "gateway/src/gateway_control.h"
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -193,7 +193,7 @@
       internal::Contains(query.tried_servers, server.description->id)) {
     return false;
   }
-  const std::vector<std::string>& regions = query.route->allowed_regions;
+  const absl::Span<const std::string> regions = query.allowed_regions;
   if (!regions.empty() && !internal::Contains(regions, server.zone->region)) {
     return false;
   }
@@ -208,7 +208,7 @@
     return false;
   }
   for (const auto& [priority, at] : seen->second) {
-    if (priority < query.route->priority && now - at < kUrgentRequestMaxAge) {
+    if (priority < query.priority && now - at < kUrgentRequestMaxAge) {
       return true;
     }
   }
@@ -293,7 +293,7 @@
   const absl::string_view home =
       plan == plans_.end()
           ? zones_->own_region()
-          : plan->second.RegionOf(query.object, query.route->allowed_regions);
+          : plan->second.RegionOf(query.object, query.allowed_regions);
   internal::TopServers in_home_region;
   internal::TopServers in_all_regions;
   for (const Server& server : servers) {
@@ -333,8 +333,7 @@
     return {nullptr, 0, {}, "no-server"};
   }
   const absl::Span<const Server> servers = service_servers->second;
-  last_request_by_priority_[std::string(query.service)][query.route->priority] =
-      now;
+  last_request_by_priority_[std::string(query.service)][query.priority] = now;
   const PlacementContext context = MakeContext(query, servers, now);
   const Server* chosen = nullptr;
   Candidate best;
@@ -365,7 +364,7 @@
     const PlacementQuery& query,
     absl::Span<const Server> servers,
     absl::Time now) const {
-  const std::vector<std::string>& regions = query.route->allowed_regions;
+  const absl::Span<const std::string> regions = query.allowed_regions;
   std::optional<absl::Time> first;
   for (const Server& server : servers) {
     const bool is_allowed =
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -27,6 +27,9 @@
 struct PlacementQuery {
   const Route* route = nullptr;
   absl::string_view service;
+  /// Names of the allowed regions; empty if all are allowed.
+  absl::Span<const std::string> allowed_regions;
+  int priority = 0;           ///< 0 is the highest.
   uint64_t object = 0;        ///< Hash of the requested object, or any number.
   bool has_affinity = false;  ///< Whether backend servers cache the object.
   /// Latest time at which an answer meets the latency objective.
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -177,6 +177,14 @@
   return live;
 }
 
+std::vector<InstanceRecord> PeerTable::Announced() const {
+  std::vector<InstanceRecord> announced;
+  for (const Peer& peer : peers_) {
+    announced.push_back(peer.record);
+  }
+  return announced;
+}
+
 absl::Duration PeerTable::IdleInterval() const {
   return std::clamp(kIdleIntervalPerPeer * static_cast<int64_t>(peers_.size()),
                     kMinIdleInterval, kMaxIdleInterval);
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -122,6 +122,10 @@
   /// \returns the changes since the last call.
   std::vector<Change> TakeChanges(absl::Time now);
 
+  /// \returns the records of all instances except this one that are announced
+  /// or heard of, live or not.
+  std::vector<InstanceRecord> Announced() const;
+
   size_t size() const { return peers_.size(); }
   /// \returns the time without a heartbeat after which an instance counts as
   /// failed.
--- a/packages/gateway/src/request_record.h
+++ b/packages/gateway/src/request_record.h
@@ -46,6 +46,12 @@
   const CallerRequest* request = nullptr;
   std::string route;
   std::string service;
+  std::string account;  ///< Name of the client account; empty if none.
+  /// Tokens of the account's quota that were left at this instance when the
+  /// request had been admitted or refused, and the age of the oldest report of
+  /// another instance.
+  double quota_tokens = 0;
+  absl::Duration quota_report_age;
   int64_t config_version = 0;
   int status = 0;  ///< Status sent to the caller; 0 if the caller disconnected.
   std::string reason;
--- a/packages/gateway/src/routing_config.cc
+++ b/packages/gateway/src/routing_config.cc
@@ -32,6 +32,16 @@
   return *this;
 }
 
+RoutingConfig::Builder& RoutingConfig::Builder::AddAccount(
+    std::shared_ptr<const ClientAccount> account,
+    absl::Span<const std::string> api_keys) {
+  for (const std::string& api_key : api_keys) {
+    config_->accounts_by_key_.insert_or_assign(api_key, account);
+  }
+  config_->accounts_.push_back(std::move(account));
+  return *this;
+}
+
 std::shared_ptr<const RoutingConfig> RoutingConfig::Builder::Build() {
   return std::exchange(config_, std::make_shared<RoutingConfig>());
 }
@@ -63,4 +73,10 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+std::shared_ptr<const ClientAccount> RoutingConfig::FindAccount(
+    ApiKey api_key) const {
+  const auto found = accounts_by_key_.find(api_key.text_);
+  return found == accounts_by_key_.end() ? nullptr : found->second;
+}
+
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/routing_config.h
+++ b/packages/gateway/src/routing_config.h
@@ -10,6 +10,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "gateway/src/client_account.h"
 
 namespace baobabwall::gateway {
 
@@ -31,6 +33,7 @@
   int priority = 0;  ///< 0 is the highest.
   int max_attempts = 1;
   bool has_affinity = false;
+  bool is_public = false;  ///< Whether callers need no API key.
   /// Empty if all regions are allowed.
   std::vector<std::string> allowed_regions;
   std::vector<WeightedService> services;  ///< At least one service.
@@ -65,6 +68,9 @@
     Builder& AddService(ServiceSpec service);
     /// \param host host name, case-insensitive.
     Builder& AddRoute(absl::string_view host, Route route);
+    /// \param api_keys keys that identify the callers of the account.
+    Builder& AddAccount(std::shared_ptr<const ClientAccount> account,
+                        absl::Span<const std::string> api_keys);
     std::shared_ptr<const RoutingConfig> Build();
 
    private:
@@ -84,6 +90,15 @@
   /// \returns nullptr if the service is not declared.
   const ServiceSpec* FindService(absl::string_view name) const;
 
+  /// \returns whether callers have to present an API key on routes that are not
+  /// public.
+  bool has_accounts() const { return !accounts_.empty(); }
+  absl::Span<const std::shared_ptr<const ClientAccount>> accounts() const {
+    return accounts_;
+  }
+  /// \returns the account that holds the key; nullptr if the key is unknown.
+  std::shared_ptr<const ClientAccount> FindAccount(ApiKey api_key) const;
+
  private:
   using RoutesByPrefix = absl::flat_hash_map<std::string, Route>;
 
@@ -92,6 +107,9 @@
   RequestLimits limits_;
   absl::flat_hash_map<std::string, ServiceSpec> services_;
   absl::flat_hash_map<std::string, RoutesByPrefix> routes_by_host_;
+  std::vector<std::shared_ptr<const ClientAccount>> accounts_;
+  absl::flat_hash_map<std::string, std::shared_ptr<const ClientAccount>>
+      accounts_by_key_;
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -9,6 +9,9 @@
 namespace baobabwall::gateway {
 namespace internal {
 
+/// Seed offset that gives the quotas their own random sequence.
+constexpr uint64_t kQuotaSeed = 1;
+
 /// Time without requests after which an instance counts as idle.
 constexpr absl::Duration kActiveTimeout = absl::Seconds(3);
 
@@ -22,11 +25,16 @@
 
 }  // namespace internal
 
-Steering::Steering(ZoneMap* zones, std::string self, uint64_t seed, Hooks hooks)
+Steering::Steering(ZoneMap* zones,
+                   std::string self,
+                   uint64_t seed,
+                   Hooks hooks,
+                   int64_t incarnation)
     : zones_(zones),
       random_(seed),
       hooks_(std::move(hooks)),
-      balancer_(zones, std::move(self)) {}
+      balancer_(zones, self),
+      quotas_(std::move(self), incarnation, seed + internal::kQuotaSeed) {}
 
 void Steering::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
@@ -62,7 +70,71 @@
   return now - last_request_at_ < internal::kActiveTimeout;
 }
 
-SteeringActions Steering::OnRequest(CallerRequest caller, absl::Time now) {
+bool Steering::Admit(Request* request,
+                     const Credentials& credentials,
+                     absl::Time now,
+                     SteeringActions* actions) {
+  if (config_ == nullptr) {
+    RefuseRequest(request, kHttpUnavailable, "no-configuration", now, actions);
+    return false;
+  }
+  request->route =
+      config_->FindRoute(request->caller.host, request->caller.path);
+  if (request->route == nullptr) {
+    RefuseRequest(request, kHttpNotFound, "no-route", now, actions);
+    return false;
+  }
+  Authorization authorization =
+      Authorize(*config_, *request->route, credentials, config_freshness_);
+  if (!authorization.is_granted()) {
+    RefuseRequest(request, authorization.status, authorization.refusal, now,
+                  actions);
+    return false;
+  }
+  request->account = std::move(authorization.account);
+  request->allowed_regions =
+      IntersectRegions(*request->route, request->account.get());
+  if (request->allowed_regions.is_restricted &&
+      request->allowed_regions.regions.empty()) {
+    RefuseRequest(request, kHttpUnavailable, "no-allowed-region", now, actions);
+    return false;
+  }
+  if (request->account != nullptr) {
+    request->quota = quotas_.Admit(*request->account, now);
+  }
+  if (!request->quota.is_admitted) {
+    RefuseRequest(request, kHttpTooManyRequests, "quota", now, actions);
+    return false;
+  }
+  return true;
+}
+
+std::optional<Refuse> Steering::CheckHead(absl::string_view host,
+                                          absl::string_view path,
+                                          const Credentials& credentials) {
+  const Route* route =
+      config_ == nullptr ? nullptr : config_->FindRoute(host, path);
+  if (route == nullptr) {
+    // Refused by OnRequest(), which also records the reason.
+    return std::nullopt;
+  }
+  const Authorization authorization =
+      Authorize(*config_, *route, credentials, config_freshness_);
+  if (authorization.is_granted()) {
+    return std::nullopt;
+  }
+  Refuse refuse;
+  refuse.status = authorization.status;
+  refuse.reason = std::string(authorization.refusal);
+  if (refuse.status == kHttpUnavailable) {
+    refuse.retry_after = kNoConfigRetryAfter;
+  }
+  return refuse;
+}
+
+SteeringActions Steering::OnRequest(CallerRequest caller,
+                                    absl::Time now,
+                                    const Credentials& credentials) {
   SteeringActions actions;
   last_request_at_ = now;
   auto owned = std::make_unique<Request>();
@@ -71,14 +143,7 @@
   request->caller = std::move(caller);
   request->config = config_;
   requests_.emplace(id, std::move(owned));
-  if (config_ == nullptr) {
-    RefuseRequest(request, kHttpUnavailable, "no-configuration", now, &actions);
-    return actions;
-  }
-  request->route =
-      config_->FindRoute(request->caller.host, request->caller.path);
-  if (request->route == nullptr) {
-    RefuseRequest(request, kHttpNotFound, "no-route", now, &actions);
+  if (!Admit(request, credentials, now, &actions)) {
     return actions;
   }
   const Route& route = *request->route;
@@ -108,6 +173,11 @@
   PlacementQuery query;
   query.route = request.route;
   query.service = request.service;
+  query.allowed_regions = request.allowed_regions.regions;
+  query.priority = request.route->priority;
+  if (request.account != nullptr) {
+    query.priority = request.account->priority.value_or(query.priority);
+  }
   query.has_affinity =
       request.route->has_affinity && request.caller.object != 0;
   // Requests without an object are distributed by the hash of their id.
@@ -141,6 +211,9 @@
                      absl::Time now,
                      SteeringActions* actions) {
   const BackendServer& server = placement.server->server();
+  if (request->account != nullptr && request->may_have_run) {
+    quotas_.ChargeAttempt(*request->account, now);
+  }
   placement.server->OnRequestStart(now);
   Attempt& attempt = request->attempt;
   attempt.id = ++last_attempt_id_;
@@ -174,6 +247,10 @@
       request->deadline - now - round_trip / 2 - kAnswerReturnTime;
   start.connect_timeout = round_trip * 2 + kConnectTimeoutMargin;
   start.is_idempotent = request->route->is_idempotent;
+  start.identity.is_checked = request->config->has_accounts();
+  if (request->account != nullptr) {
+    start.identity.account = request->account->name;
+  }
   actions->push_back(std::move(start));
 }
 
@@ -432,6 +509,8 @@
     refuse.status = kHttpBadGateway;
   } else if (reports_not_run) {
     refuse.retry_after = RetryAfter(*request, now);
+  } else if (status == kHttpTooManyRequests) {
+    refuse.retry_after = request->quota.retry_after;
   }
   FinishRequest(request, refuse.status, reason,
                 refuse.retry_after.value_or(absl::ZeroDuration()), now);
@@ -459,6 +538,7 @@
   if (attempt.id == 0) {
     return;
   }
+  request->may_have_run = true;
   attempt.server->OnRequestEnd();
   request->attempt_records.back().took = now - attempt.start;
   attempts_.erase(attempt.id);
@@ -550,11 +630,19 @@
                              absl::string_view reason,
                              absl::Duration retry_after,
                              absl::Time now) {
+  const bool has_token =
+      request->account != nullptr && request->quota.is_admitted;
+  if (has_token && !request->may_have_run) {
+    quotas_.Refund(*request->account, now);
+  }
   if (hooks_.on_request_end) {
     RequestRecord record;
     record.request = &request->caller;
     record.route = request->route == nullptr ? "" : request->route->name;
     record.service = request->service;
+    record.quota_tokens = request->quota.tokens;
+    record.quota_report_age = request->quota.report_age;
+    record.account = request->account == nullptr ? "" : request->account->name;
     record.config_version =
         request->config == nullptr ? 0 : request->config->version();
     record.status = status;
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -13,6 +13,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/base.h"
+#include "gateway/src/account_quotas.h"
+#include "gateway/src/authorization.h"
 #include "gateway/src/balancer.h"
 #include "gateway/src/demand_meter.h"
 #include "gateway/src/request_record.h"
@@ -79,7 +81,13 @@
         on_pause_requested;
   };
 
-  Steering(ZoneMap* zones, std::string self, uint64_t seed, Hooks hooks);
+  /// \param incarnation start time of this process, which identifies it in
+  /// messages about quotas.
+  Steering(ZoneMap* zones,
+           std::string self,
+           uint64_t seed,
+           Hooks hooks,
+           int64_t incarnation = 0);
 
   void SetConfig(std::shared_ptr<const RoutingConfig> config);
   void SetBackends(const BackendSet& set);
@@ -95,7 +103,21 @@
   /// crash servers.
   void SetCrashReports(const std::set<uint64_t>& fingerprints, absl::Time now);
 
-  SteeringActions OnRequest(CallerRequest request, absl::Time now);
+  /// \brief Sets whether this instance may miss a newer configuration.
+  void SetConfigFreshness(ConfigFreshness freshness) {
+    config_freshness_ = freshness;
+  }
+
+  /// \param credentials refer to the text of the request, and are not kept.
+  SteeringActions OnRequest(CallerRequest request,
+                            absl::Time now,
+                            const Credentials& credentials = {});
+
+  /// \brief Checks a request whose body has not been read.
+  /// \returns the refusal if the request cannot run, whatever its body is.
+  std::optional<Refuse> CheckHead(absl::string_view host,
+                                  absl::string_view path,
+                                  const Credentials& credentials);
   SteeringActions OnAttemptEnd(const AttemptEnd& end, absl::Time now);
 
   /// \brief Called when the caller has closed its connection.
@@ -111,6 +133,7 @@
   }
 
   Balancer& balancer() { return balancer_; }
+  AccountQuotas& quotas() { return quotas_; }
   const RoutingConfig* config() const { return config_.get(); }
   size_t in_flight() const { return requests_.size(); }
   /// \returns whether this instance has received requests within the last few
@@ -138,6 +161,10 @@
     CallerRequest caller;
     std::shared_ptr<const RoutingConfig> config;  ///< Owns `route`.
     const Route* route = nullptr;
+    /// nullptr if the request has no account.
+    std::shared_ptr<const ClientAccount> account;
+    AllowedRegions allowed_regions;
+    AccountQuotas::Decision quota;
     std::string service;
     absl::Time deadline;
     bool was_refused_before = false;
@@ -158,6 +185,12 @@
   /// \brief Starts the first attempt, or the next attempt after a request could
   /// not be sent.
   void PlaceRequest(Request* request, absl::Time now, SteeringActions* actions);
+  /// \brief Finds the route and the account of a new request.
+  /// \returns whether the request may be placed; otherwise it is refused.
+  bool Admit(Request* request,
+             const Credentials& credentials,
+             absl::Time now,
+             SteeringActions* actions);
   static PlacementQuery MakeQuery(const Request& request);
   Placement Choose(const Request& request, absl::Time now);
   void Start(Request* request,
@@ -215,8 +248,10 @@
   base::Random random_;
   Hooks hooks_;
   std::shared_ptr<const RoutingConfig> config_;
+  ConfigFreshness config_freshness_ = ConfigFreshness::kCurrent;
   Balancer balancer_;
   RetryAllowance retry_allowance_;
+  AccountQuotas quotas_;
   TrafficSplit traffic_split_;
   DemandMeter demand_meter_;
   steer::CrashSuspects crash_suspects_;
--- a/packages/gateway/src/steering_event.h
+++ b/packages/gateway/src/steering_event.h
@@ -32,6 +32,14 @@
   absl::Time arrival;
 };
 
+/// \brief The caller as a backend server is told of it.
+struct CallerIdentity {
+  /// Whether the configuration has client accounts. If so, the caller's
+  /// credentials are not sent to the server.
+  bool is_checked = false;
+  std::string account;  ///< Name of the account; empty if there is none.
+};
+
 /// \brief How an attempt at a backend server ended.
 struct AttemptEnd {
   AttemptId attempt = 0;
@@ -58,6 +66,7 @@
   absl::Duration time_left;  ///< Time left for the server's answer.
   absl::Duration connect_timeout;
   bool is_idempotent = false;
+  CallerIdentity identity;
 };
 
 /// \brief Passes the answer of an attempt to the caller.
--- a/packages/settings/src/gateway_settings.h
+++ b/packages/settings/src/gateway_settings.h
@@ -32,6 +32,13 @@
   double retry_extra = 50;
   absl::Duration retry_window = absl::Seconds(10);
 
+  /// Bound on the requests of a client account that run in any window of
+  /// `quota_window`, across all instances, beyond its quota: a fraction of the
+  /// quota, and a number of requests.
+  absl::Duration quota_window = absl::Seconds(5);
+  double quota_overshoot = 0.1;
+  double quota_slack = 20;
+
   /// Time from the stop signal until the platform kills the process.
   absl::Duration shutdown_grace = absl::Seconds(6);
   /// Time for which callers may cache the response to a lookup.
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -284,7 +284,7 @@
   CHECK(decoded.time_left == absl::Milliseconds(2500));
   CHECK(decoded.object != 0);
   const auto forwarded =
-      ForwardRequest(request, "i-1", absl::Milliseconds(1234));
+      ForwardRequest(request, {"i-1", absl::Milliseconds(1234), {}});
   CHECK(forwarded["X-Deadline-Ms"] == "1234");
   CHECK(forwarded["X-Expect-Instance"] == "i-1");
   CHECK(forwarded["X-Request-Id"] == "id-1");
