Use the work time that servers report of themselves

Cause: a load report with a fourth figure was dropped entirely, so that on such deployments nothing that servers report was used.

Change: the fourth figure is decoded with bounds (10 to 10000 percent); figures that cannot be used are ignored, the first three are kept, and one line for each incarnation is logged. The figure decays with a time constant of 300 ms, half of the time for which the speed of a machine stays. It is used for the expected time, the load limit and the time at which an attempt is repeated, and it corrects measured work times and overdue answers. A correction that gives less than 0.6 of the warm work time is omitted: the work was done before the machine became slow. Reports with three figures give the factor 1 and the same decisions.

--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -65,6 +65,11 @@
                        << " service=" << server.service
                        << " incarnation=" << server.incarnation
                        << " ms=" << absl::ToInt64Milliseconds(pause);
+           },
+           [](const gateway::BackendServer& server) {
+             LOG(WARNING) << "backend: malformed load server=" << server.id
+                          << " service=" << server.service
+                          << " incarnation=" << server.incarnation;
            }},
           self_.incarnation),
       peers_(self_.name, self_.zone, self_.region),
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -243,8 +243,8 @@
   const absl::Time now = context.now;
   const ServerLoad& load = *server.load;
   const int slots = server.description->slots;
-  const double slowness =
-      load.Slowness(now) * (load.IsCold(now) ? kColdServerWorkFactor : 1.0);
+  const double slowness = load.Slowness(now) * load.WorkFactor(now) *
+                          (load.IsCold(now) ? kColdServerWorkFactor : 1.0);
   const bool is_cached =
       !query.has_affinity || load.cached_objects().Has(query.object, now);
   const auto rank =
@@ -405,7 +405,8 @@
                              absl::Time now) const {
   RecordNotRun(query, server);
   server->RecordOutcome(true, now);
-  const absl::Duration cold = WorkTimeOf(query.service, *query.route).cold;
+  const absl::Duration cold =
+      WorkTimeOf(query.service, *query.route).cold * server->WorkFactor(now);
   if (elapsed > cold) {
     server->RecordWorkTimeRatio(absl::FDivDuration(elapsed, cold), now);
   }
@@ -416,6 +417,12 @@
                               absl::Duration work,
                               absl::Time now) {
   const WorkTime previous = WorkTimeOf(query.service, *query.route);
+  // A moment of the machine is neither a run without the cached object nor a
+  // lasting slowness.
+  const absl::Duration usual_work = work / server->WorkFactor(now);
+  if (usual_work >= previous.warm * kMinCorrectedWorkRatio) {
+    work = usual_work;
+  }
   const bool is_warm = work_times_.OnAnswer(query.service, *query.route, work);
   const absl::Duration expected = is_warm ? previous.warm : previous.cold;
   if (expected > absl::ZeroDuration()) {
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -101,6 +101,10 @@
   /// have arrived within kUrgentRequestMaxAge.
   static constexpr double kUrgentRequestReserve = 1.0;
   static constexpr absl::Duration kUrgentRequestMaxAge = absl::Seconds(2);
+  /// Minimum work time that is corrected by the reported work factor, relative
+  /// to the warm work time. If the result is shorter, the work was done before
+  /// the machine became slow, and the correction is omitted.
+  static constexpr double kMinCorrectedWorkRatio = 0.6;
   /// Factor by which the work time is longer on a server that is warming up.
   static constexpr double kColdServerWorkFactor = 2.0;
   /// Maximum number of instances that send requests to a cold server. These
--- a/packages/gateway/src/server_load.cc
+++ b/packages/gateway/src/server_load.cc
@@ -33,6 +33,15 @@
   return 1 + (slowness_ - 1) * DecayFactor(slowness_updated_at_, now);
 }
 
+double ServerLoad::WorkFactor(absl::Time now) const {
+  if (work_factor_reported_at_ == absl::InfinitePast()) {
+    return 1;
+  }
+  const absl::Duration age = now - work_factor_reported_at_;
+  return 1 + (work_factor_ - 1) *
+                 std::exp(-absl::FDivDuration(age, kWorkFactorDecayTime));
+}
+
 double ServerLoad::FailureRatio(absl::Time now) const {
   return failure_ratio_ * DecayFactor(failure_ratio_updated_at_, now);
 }
@@ -46,6 +55,10 @@
   reported_others_in_flight_ =
       std::max(0, load.running + load.waiting - own_in_flight_);
   reported_at_ = now;
+  if (load.work_factor) {
+    work_factor_ = *load.work_factor;
+    work_factor_reported_at_ = now;
+  }
 }
 
 void ServerLoad::RecordWorkTimeRatio(double ratio, absl::Time now) {
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -20,6 +20,11 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes on the machine at this moment, relative to the usual
+  /// time; nullopt if the server does not report it.
+  std::optional<double> work_factor = std::nullopt;
+  /// Whether the report has further figures that could not be decoded.
+  bool is_partly_malformed = false;
 };
 
 /// \brief What a backend server has said about itself in its answers. Holds for
@@ -46,6 +51,11 @@
   /// Time constant of the decay of slowness and failures. The decay lets a
   /// recovered server get requests again.
   static constexpr absl::Duration kDecayTime = absl::Seconds(4);
+  /// Time constant of the decay of a reported work factor. The speed of a
+  /// machine changes about every 600 ms, so that a report is on average out of
+  /// date after half of this time.
+  static constexpr absl::Duration kWorkFactorDecayTime =
+      absl::Milliseconds(300);
   /// Time for which a server gets no new requests after a failed connection;
   /// doubled by each further failure up to kMaxPause.
   static constexpr absl::Duration kInitialPause = absl::Milliseconds(500);
@@ -87,6 +97,11 @@
   /// time; 1 is normal.
   double Slowness(absl::Time now) const;
 
+  /// \returns how long work probably takes on the machine at this moment,
+  /// relative to the usual time, based on the last reported work factor; 1 if
+  /// the server does not report it.
+  double WorkFactor(absl::Time now) const;
+
   /// \returns the fraction of the requests that fail, 0 to 1.
   double FailureRatio(absl::Time now) const;
 
@@ -114,6 +129,11 @@
   /// \brief Called when an attempt ends with any result.
   void OnRequestEnd() { --own_in_flight_; }
   void RecordReportedLoad(const ReportedLoad& load, absl::Time now);
+  /// \brief Records that a report was partly malformed.
+  /// \returns false if this was known.
+  bool MarkMalformedReport() {
+    return !std::exchange(has_malformed_report_, true);
+  }
   /// \param ratio work time divided by the expected work time.
   void RecordWorkTimeRatio(double ratio, absl::Time now);
   void RecordOutcome(bool is_failure, absl::Time now);
@@ -144,6 +164,9 @@
   int peers_in_flight_ = 0;
   double reported_others_in_flight_ = 0;
   absl::Time reported_at_ = absl::InfinitePast();
+  double work_factor_ = 1;
+  absl::Time work_factor_reported_at_ = absl::InfinitePast();
+  bool has_malformed_report_ = false;
   double slowness_ = 1;
   absl::Time slowness_updated_at_ = absl::InfinitePast();
   double failure_ratio_ = 0;
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -233,7 +233,8 @@
       request->route->is_idempotent
           ? now +
                 (placement.expected +
-                 balancer_.WorkTimeOf(request->service, *request->route).cold) *
+                 balancer_.WorkTimeOf(request->service, *request->route).cold *
+                     placement.server->WorkFactor(now)) *
                     kAnswerTimeoutFactor
           : request->deadline;
   attempts_.emplace(attempt.id, request->caller.id);
@@ -261,6 +262,10 @@
   server->OnRequestEnd();
   if (end.load) {
     server->RecordReportedLoad(*end.load, now);
+    if (end.load->is_partly_malformed && server->MarkMalformedReport() &&
+        hooks_.on_malformed_load) {
+      hooks_.on_malformed_load(server->server());
+    }
   }
   if (end.cold_left) {
     server->SetColdUntil(now + *end.cold_left);
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -79,6 +79,8 @@
     /// because it asked for a pause.
     std::function<void(const BackendServer&, absl::Duration)>
         on_pause_requested;
+    /// Called once for a backend server whose load report is partly malformed.
+    std::function<void(const BackendServer&)> on_malformed_load;
   };
 
   /// \param incarnation start time of this process, which identifies it in
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -268,6 +268,44 @@
   }
 }
 
+// Guards against a load report that is dropped because of its fourth figure, or
+// whose fourth figure makes a server look extremely fast or slow.
+TEST_CASE("the fourth figure of a load report is optional and bounded") {
+  const auto load = [](const std::string& header) {
+    HttpResponse answer = MakeAnswer(200, "");
+    answer.set("X-Server-Load", header);
+    return ReadAnswer(answer).load;
+  };
+  REQUIRE(load("3,1,4").has_value());
+  CHECK_FALSE(load("3,1,4")->work_factor.has_value());
+  CHECK_FALSE(load("3,1,4")->is_partly_malformed);
+  REQUIRE(load("3,1,4,250").has_value());
+  CHECK(load("3,1,4,250")->work_factor == Approx(2.5));
+  CHECK(load("3,1,4, 100")->work_factor == Approx(1));
+  CHECK_FALSE(load("3,1,4,250")->is_partly_malformed);
+  for (const char* invalid : {"", "0", "-1", "-250", "1e300", "10001", "inf",
+                              "nan", "slow", "250%"}) {
+    CAPTURE(invalid);
+    const auto partial = load(absl::StrCat("3,1,4,", invalid));
+    REQUIRE(partial.has_value());
+    CHECK(partial->running == 3);
+    CHECK(partial->waiting == 1);
+    CHECK(partial->slots == 4);
+    CHECK_FALSE(partial->work_factor.has_value());
+    CHECK(partial->is_partly_malformed);
+  }
+  for (const char* extra : {"250,7", "250,", "250,,,,,,,,"}) {
+    CAPTURE(extra);
+    const auto partial = load(absl::StrCat("3,1,4,", extra));
+    REQUIRE(partial.has_value());
+    CHECK(partial->work_factor == Approx(2.5));
+    CHECK(partial->is_partly_malformed);
+  }
+  for (const char* invalid : {"", "3,1", "3,1,x", "3,1,x,250"}) {
+    CHECK_FALSE(load(invalid).has_value());
+  }
+}
+
 // Guards against forwarding hop-by-hop headers, and against forwarding the
 // caller's deadline without subtracting the elapsed time.
 TEST_CASE("a request is forwarded with the remaining time") {
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -36,7 +36,8 @@
              },
              [this](const BackendServer& server, absl::Duration pause) {
                requested_pauses[server.id] = pause;
-             }}) {
+             },
+             {}}) {
     RoutingConfig::Builder builder;
     builder.Version(1).AddService({"s", "/health", 330, absl::Seconds(3), 8});
     for (const bool is_idempotent : {true, false}) {
