Check the head of a request before its body is read

Credentials are to be checked before a body is received, but the listener passed on only complete requests.

HttpListener::Hooks::on_request_head is called once for each complete head. An answer that it returns is sent in order and the body is discarded; the connection stays usable if at most 256 KiB of body remain. Requests are now read and parsed in pieces of at most 64 KiB with space that all connections share, so a connection holds no memory for receiving. 'Expect: 100-continue' gets its interim answer if the head is accepted; if it is refused, the connection is closed, because the body cannot be told from a next request. A connection that is closing stays open for up to 5 s while the caller still sends. The traffic loop checks the head with Steering::CheckHead.

--- a/packages/edge/src/dialect.h
+++ b/packages/edge/src/dialect.h
@@ -48,6 +48,10 @@
   std::function<gateway::CallerRequest(const HttpRequest& request)>
       read_request;
 
+  /// \returns the properties that the head of a request tells, without the
+  /// fingerprint.
+  std::function<gateway::CallerRequest(const RequestHead& head)> read_head;
+
   /// \returns the credentials in the head of a request, which refer to the
   /// text of the head.
   std::function<gateway::Credentials(const http::fields& headers)>
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -32,6 +33,14 @@
   /// socket with unread data resets the connection, and the caller could lose
   /// the answer.
   static constexpr absl::Duration kLingerTime = absl::Seconds(1);
+  /// Maximum time for which a connection stays open after its last answer while
+  /// the caller still sends.
+  static constexpr absl::Duration kMaxLingerTime = absl::Seconds(5);
+  /// Maximum size of a body that is read and discarded to keep the connection
+  /// usable after a request was refused by its head.
+  static constexpr uint64_t kMaxDiscardedBodyBytes = 256 * 1024;
+  /// Maximum size of the data that is received or decoded at once.
+  static constexpr size_t kReadPieceBytes = 64 * 1024;
   /// Time that is added to the idle timeout for requests in flight, because
   /// callers may reuse a connection until the idle timeout.
   static constexpr absl::Duration kIdleTimeoutMargin = absl::Seconds(1);
@@ -51,6 +60,11 @@
     std::function<void(ExchangeId, HttpRequest)> on_request;
     /// Called if the caller disconnects before the request is answered.
     std::function<void(ExchangeId)> on_caller_disconnected;
+    /// Called once when the head of a request is complete, before its body is
+    /// read. If it returns an answer, the answer is sent in order, the body is
+    /// discarded and `on_request` is not called. Unset: every head is accepted.
+    std::function<std::optional<HttpResponse>(const RequestHead& head)>
+        on_request_head = nullptr;
   };
 
   HttpListener(asio::io_context* io, Hooks hooks);
@@ -102,6 +116,10 @@
   ExchangeId last_exchange_id_ = 0;
   std::map<Connection*, std::shared_ptr<Connection>> connections_;
   absl::flat_hash_map<ExchangeId, Connection*> connection_by_exchange_;
+  /// Scratch space for received data and for decoded parts of bodies, shared by
+  /// all connections. Its contents are used only within one call.
+  std::vector<char> receive_space_;
+  std::vector<char> decode_space_;
 };
 
 }  // namespace baobabwall::edge
--- a/packages/edge/src/http_message.h
+++ b/packages/edge/src/http_message.h
@@ -16,6 +16,7 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using udp = asio::ip::udp;
+using RequestHead = http::request_header<>;
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -74,7 +74,8 @@
           {[this](ExchangeId exchange, HttpRequest request) {
              OnRequest(exchange, std::move(request));
            },
-           [this](ExchangeId exchange) { OnCallerDisconnected(exchange); }}),
+           [this](ExchangeId exchange) { OnCallerDisconnected(exchange); },
+           [this](const RequestHead& head) { return CheckHead(head); }}),
       readiness_listener_(
           &io_,
           {[this](ExchangeId exchange, const HttpRequest& request) {
@@ -194,6 +195,17 @@
          shutdown_start_ == absl::InfiniteFuture();
 }
 
+std::optional<HttpResponse> TrafficLoop::CheckHead(const RequestHead& head) {
+  const gateway::CallerRequest request = dialect_->read_head(head);
+  const std::optional<gateway::Refuse> refuse = steering_.CheckHead(
+      request.host, request.path, dialect_->read_credentials(head));
+  if (!refuse) {
+    return std::nullopt;
+  }
+  return dialect_->refusal(refuse->status, refuse->retry_after,
+                           request.caller_id);
+}
+
 void TrafficLoop::OnRequest(ExchangeId exchange, HttpRequest request) {
   const absl::Time now = transport::SteadyNow();
   if (view_ == nullptr && now - start_time_ < kMaxStartupWait) {
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -92,6 +92,8 @@
   };
 
   bool IsReady() const;
+  /// \returns the refusal of a request whose body has not been read.
+  std::optional<HttpResponse> CheckHead(const RequestHead& head);
   void OnRequest(ExchangeId exchange, HttpRequest request);
   void OnAttemptEnd(const gateway::AttemptEnd& end,
                     std::optional<HttpResponse> answer);
--- a/test/http_listener_test.cc
+++ b/test/http_listener_test.cc
@@ -22,14 +22,14 @@
  public:
   ListenerFixture()
       : port(test::FreePort()),
-        listener(&io,
-                 {[this](ExchangeId exchange, HttpRequest request) {
-                    exchanges.push_back(exchange);
-                    targets.emplace_back(request.target());
-                  },
-                  [this](ExchangeId exchange) {
-                    disconnected.push_back(exchange);
-                  }}) {
+        listener(
+            &io,
+            {[this](ExchangeId exchange, HttpRequest request) {
+               exchanges.push_back(exchange);
+               targets.emplace_back(request.target());
+             },
+             [this](ExchangeId exchange) { disconnected.push_back(exchange); },
+             [this](const RequestHead& head) { return CheckHead(head); }}) {
     REQUIRE(listener.Open({"127.0.0.1", static_cast<uint16_t>(port)}));
   }
 
@@ -95,10 +95,22 @@
     listener.Answer(exchange, std::move(answer));
   }
 
+  /// Refuses targets that start with "/refused".
+  std::optional<HttpResponse> CheckHead(const RequestHead& head) {
+    checked_targets.emplace_back(head.target());
+    if (!absl::StartsWith(checked_targets.back(), "/refused")) {
+      return std::nullopt;
+    }
+    HttpResponse answer(http::status::unauthorized, 11);
+    answer.prepare_payload();
+    return answer;
+  }
+
   asio::io_context io;
   int port;
   std::vector<ExchangeId> exchanges;
   std::vector<std::string> targets;
+  std::vector<std::string> checked_targets;
   std::vector<ExchangeId> disconnected;
   HttpListener listener;
 };
@@ -339,5 +351,91 @@
   CHECK(text.find("HTTP/1.1 408") == text.rfind("HTTP/1.1 408"));
 }
 
+std::string Post(const std::string& target, const std::string& body) {
+  return absl::StrCat("POST ", target,
+                      " HTTP/1.1\r\nContent-Length: ", body.size(), "\r\n\r\n",
+                      body);
+}
+
+std::string PostChunked(const std::string& target,
+                        const std::vector<std::string>& chunks) {
+  std::string text = absl::StrCat("POST ", target,
+                                  " HTTP/1.1\r\nTransfer-Encoding: chunked"
+                                  "\r\n\r\n");
+  for (const std::string& chunk : chunks) {
+    absl::StrAppend(&text, absl::Hex(chunk.size()), "\r\n", chunk, "\r\n");
+  }
+  return text + "0\r\n\r\n";
+}
+
+// Guards against a refusal that is sent only after the body was read, that is
+// sent out of order, or whose body is taken for the next request.
+TEST_CASE("a request refused by its head leaves the connection usable") {
+  ListenerFixture fixture;
+  const auto caller = fixture.Connect();
+  const std::string body(200 * 1024, 'x');
+  ListenerFixture::Write(caller.get(), Post("/1", "small"));
+  ListenerFixture::Write(caller.get(), Post("/refused/2", Get("/evil") + body));
+  ListenerFixture::Write(caller.get(),
+                         PostChunked("/refused/3", {Get("/evil"), body}));
+  ListenerFixture::Write(caller.get(), Get("/refused/4") + Get("/5"));
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 2; }));
+  CHECK(fixture.targets == std::vector<std::string>{"/1", "/5"});
+  CHECK(fixture.checked_targets ==
+        std::vector<std::string>{"/1", "/refused/2", "/refused/3", "/refused/4",
+                                 "/5"});
+  fixture.Answer(fixture.exchanges[1], "fifth");
+  fixture.Answer(fixture.exchanges[0], "first");
+  const std::string text = fixture.ReadUntil(caller.get(), "fifth");
+  CHECK(text.find("first") < text.find("HTTP/1.1 401"));
+  CHECK(text.rfind("HTTP/1.1 401") < text.find("fifth"));
+  CHECK(!absl::StrContains(text, "Connection: close"));
+}
+
+// Guards against waiting for a body that a refused caller has not sent yet, and
+// against reading a large refused body without end.
+TEST_CASE("a refused large body is not read, and the refusal arrives") {
+  ListenerFixture fixture;
+  const auto announced = fixture.Connect();
+  ListenerFixture::Write(
+      announced.get(),
+      "POST /refused HTTP/1.1\r\nContent-Length: 1000000\r\n\r\npart");
+  std::string text = fixture.ReadUntil(announced.get(), "never");
+  CHECK(absl::StartsWith(text, "HTTP/1.1 401"));
+  CHECK(absl::StrContains(text, "Connection: close"));
+
+  const auto chunked = fixture.Connect();
+  ListenerFixture::Write(
+      chunked.get(), PostChunked("/refused", {std::string(300 * 1024, 'x')}));
+  ListenerFixture::Write(chunked.get(), Get("/behind"));
+  text = fixture.ReadUntil(chunked.get(), "never");
+  CHECK(absl::StartsWith(text, "HTTP/1.1 401"));
+  CHECK(text.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(fixture.targets.empty());
+}
+
+// Guards against a caller that waits for an interim answer until it gives up,
+// and against taking the body behind a refusal for a request.
+TEST_CASE("an expected interim answer is sent only to accepted requests") {
+  ListenerFixture fixture;
+  const auto accepted = fixture.Connect();
+  const std::string head =
+      " HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n";
+  ListenerFixture::Write(accepted.get(), "POST /1" + head);
+  CHECK(fixture.ReadUntil(accepted.get(), "\r\n\r\n") ==
+        "HTTP/1.1 100 Continue\r\n\r\n");
+  ListenerFixture::Write(accepted.get(), "body");
+  REQUIRE(fixture.RunUntil([&] { return fixture.exchanges.size() == 1; }));
+  fixture.Answer(fixture.exchanges[0], "done");
+  CHECK(absl::StartsWith(fixture.ReadUntil(accepted.get(), "done"),
+                         "HTTP/1.1 200"));
+
+  const auto refused = fixture.Connect();
+  ListenerFixture::Write(refused.get(), "POST /refused" + head);
+  const std::string text = fixture.ReadUntil(refused.get(), "never");
+  CHECK(absl::StartsWith(text, "HTTP/1.1 401"));
+  CHECK(absl::StrContains(text, "Connection: close"));
+}
+
 }  // namespace
 }  // namespace baobabwall::edge
