Quotas: move tokens only where a whole token is lacking; count departed holders for 90 s

Cause: tokens were divided in proportion to weights, and grants below 0.1 token were dropped, so that an instance with 0.3 to 1 token often got nothing although the others had full buckets. Grants were rounded up by the codec, and numbers outside the range of account keys and sequence numbers were accepted.

Change: an instance gets tokens if it lacks a whole token and those of the requests of half a second; givers keep a reserve; small grants are given with a probability instead of dropped. Departed holders count for 90 s. A holder that was not named for a time accrues only after 2 s. Holders together can hold 0.9 instead of 0.8 of the requests beyond the rate. The codec rounds down and checks integers.

--- a/packages/gateway/src/account_quotas.cc
+++ b/packages/gateway/src/account_quotas.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -54,6 +55,9 @@
     }
     entry.quota = *account->quota;
     UpdateBucket(&entry, now);
+    if (known == accounts_.end() && !rules_.start_without_tokens) {
+      entry.bucket.Add(entry.bucket.capacity());
+    }
   }
   accounts_ = std::move(next);
 }
@@ -62,18 +66,23 @@
                                  bool was_announced,
                                  absl::Time now) {
   const std::set<std::string> names = internal::HolderNames(instances);
-  const bool was_holder = IsHolder(self_);
+  // The others may have ceased to count a holder that was not named for a time.
+  const auto known_self = holders_.find(self_);
+  const bool was_holder = known_self != holders_.end() &&
+                          known_self->second == absl::InfiniteFuture();
   for (auto& [name, until] : holders_) {
     // Tokens may still accrue in a holder that has disappeared.
     if (names.count(name) == 0 && until == absl::InfiniteFuture()) {
-      until = now + bound_.window;
+      until = rules_.count_departed_holders ? now + kDepartedHolderTime : now;
     }
   }
   for (const std::string& name : names) {
     holders_[name] = absl::InfiniteFuture();
   }
-  if (!was_holder && IsHolder(self_)) {
-    accrues_from_ = was_announced ? now : now + kNewHolderDelay;
+  if (!was_holder && names.count(self_) > 0) {
+    accrues_from_ = was_announced || !rules_.delay_new_holders
+                        ? now
+                        : now + kNewHolderDelay;
   }
   std::map<std::string, Peer, std::less<>> peers;
   for (const InstanceRecord& instance : instances) {
@@ -132,7 +141,10 @@
 void AccountQuotas::UpdateBucket(Account* account, absl::Time now) {
   const AccountQuota& quota = account->quota;
   account->bucket.Update(quota.rate_per_s * BaseShare(now),
-                         Capacity(quota, IsHolder(self_)), now);
+                         rules_.bound_tokens
+                             ? Capacity(quota, IsHolder(self_))
+                             : std::numeric_limits<double>::max(),
+                         now);
 }
 
 AccountQuotas::Decision AccountQuotas::Admit(const ClientAccount& account,
@@ -192,9 +204,9 @@
 
 void AccountQuotas::PlanGrants(uint32_t key, Account* account, absl::Time now) {
   UpdateBucket(account, now);
-  std::vector<TokenHolding> holdings = {{account->arrivals.RatePerS(now),
-                                         account->bucket.tokens(),
-                                         account->bucket.capacity()}};
+  std::vector<TokenHolding> holdings = {
+      {account->arrivals.RatePerS(now), account->bucket.tokens(),
+       account->bucket.capacity(), IsHolder(self_)}};
   std::vector<std::pair<Peer*, ReceivedReport*>> receivers = {{}};
   for (auto& [name, peer] : peers_) {
     const auto report = peer.reports.find(key);
@@ -203,17 +215,20 @@
       continue;
     }
     holdings.push_back({report->second.rate_per_s, report->second.tokens,
-                        Capacity(account->quota, peer.is_holder)});
+                        Capacity(account->quota, peer.is_holder),
+                        peer.is_holder});
     receivers.emplace_back(&peer, &report->second);
   }
   const TokenPlan plan(holdings);
   for (size_t i = 1; i < holdings.size(); ++i) {
     const auto& [peer, report] = receivers[i];
-    const double tokens = plan.Grant(0, i);
+    const double tokens = plan.Grant(0, i, &random_);
     if (tokens <= 0 || peer->grants.size() >= QuotaMessage::kMaxEntries) {
       continue;
     }
-    account->bucket.Remove(tokens);
+    if (rules_.remove_given_tokens) {
+      account->bucket.Remove(tokens);
+    }
     peer->grants.push_back({key, tokens});
     // Until the next report, the receiver counts as having the tokens.
     report->tokens += tokens;
@@ -293,7 +308,7 @@
   const bool is_stale = message.sender_incarnation < peer.incarnation ||
                         (message.sender_incarnation == peer.incarnation &&
                          message.sequence <= peer.last_sequence);
-  if (is_stale) {
+  if (is_stale && rules_.drop_stale_messages) {
     return false;
   }
   peer.incarnation = message.sender_incarnation;
--- a/packages/gateway/src/account_quotas.h
+++ b/packages/gateway/src/account_quotas.h
@@ -30,6 +30,17 @@
   double slack = 20;
 };
 
+/// \brief Rules of the protocol. Tests disable one to verify that they detect
+/// its absence.
+struct QuotaRules {
+  bool remove_given_tokens = true;
+  bool drop_stale_messages = true;
+  bool bound_tokens = true;
+  bool start_without_tokens = true;
+  bool delay_new_holders = true;
+  bool count_departed_holders = true;
+};
+
 /// \brief Enforces the quotas of all client accounts at one instance, together
 /// with the other instances.
 ///
@@ -65,10 +76,17 @@
   /// Time for which no tokens accrue in a new holder, because the others may
   /// not know yet that there is one more holder.
   static constexpr absl::Duration kNewHolderDelay = absl::Seconds(2);
+  /// Time for which a holder counts after its record has disappeared. The
+  /// record of an instance that is cut off from the store and from the others
+  /// expires, but its part of the rate still accrues there. The bound can be
+  /// exceeded by a partition that lasts longer than this time and the lease of
+  /// the record together. Until then, the part of a holder that has ended is
+  /// unused.
+  static constexpr absl::Duration kDepartedHolderTime = absl::Seconds(90);
   /// Part of the requests that may run beyond the rate, which all holders
   /// together can hold as tokens. The rest covers short differences between the
   /// instances' views of the holders, and tokens of other instances.
-  static constexpr double kHeldRatio = 0.8;
+  static constexpr double kHeldRatio = 0.9;
   /// Capacity of an instance that is no holder, relative to a holder.
   static constexpr double kOtherCapacityRatio = 1.0 / 3;
   /// Limits of the time after which a refused caller is asked to return.
@@ -95,6 +113,7 @@
   AccountQuotas(std::string self, int64_t incarnation, uint64_t seed);
 
   void SetBound(const QuotaBound& bound) { bound_ = bound; }
+  void SetRules(const QuotaRules& rules) { rules_ = rules; }
 
   /// \brief Replaces the accounts by those of a configuration. Accounts without
   /// a quota are ignored.
@@ -124,6 +143,8 @@
 
   bool is_in_use() const { return !accounts_.empty(); }
   size_t holder_count() const { return holders_.size(); }
+  /// \returns whether tokens accrue at this instance.
+  bool is_holder() const { return IsHolder(self_); }
 
   /// \returns the key that identifies an account in messages.
   static uint32_t AccountKey(absl::string_view name) {
@@ -179,6 +200,7 @@
   int64_t incarnation_;
   base::Random random_;
   QuotaBound bound_;
+  QuotaRules rules_;
   absl::flat_hash_map<uint32_t, Account> accounts_;  ///< By AccountKey().
   std::map<std::string, Peer, std::less<>> peers_;   ///< By name.
   /// Instances in which tokens accrue, with the time at which they cease to
--- a/packages/gateway/src/quota_message.cc
+++ b/packages/gateway/src/quota_message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -21,8 +22,10 @@
 /// Largest rate and number of tokens that is accepted from the network.
 constexpr double kMaxValue = 1e9;
 
+/// \returns the value rounded down, so that no tokens are created by rounding.
 int64_t Encoded(double value) {
-  return std::llround(std::clamp(value, 0.0, kMaxValue) * kScale);
+  return static_cast<int64_t>(
+      std::floor(std::clamp(value, 0.0, kMaxValue) * kScale));
 }
 
 /// \returns 0 if the number is not within the limits.
@@ -31,9 +34,23 @@
   return value >= 0 && value <= kMaxValue ? value : 0;
 }
 
+bool IsAccountKey(const nlohmann::json& number) {
+  return number.is_number_unsigned() &&
+         number.get<uint64_t>() <= std::numeric_limits<uint32_t>::max();
+}
+
+/// \returns whether the list consists of entries that begin with an account.
 bool IsValidList(const nlohmann::json& list, size_t fields) {
-  return list.is_array() && list.size() % fields == 0 &&
-         list.size() <= fields * QuotaMessage::kMaxEntries;
+  if (!list.is_array() || list.size() % fields != 0 ||
+      list.size() > fields * QuotaMessage::kMaxEntries) {
+    return false;
+  }
+  for (size_t i = 0; i < list.size(); i += fields) {
+    if (!IsAccountKey(list[i])) {
+      return false;
+    }
+  }
+  return true;
 }
 
 }  // namespace internal
@@ -70,6 +87,7 @@
   const nlohmann::json& reports = fields[4];
   const nlohmann::json& grants = fields[5];
   if (fields[0] != internal::kQuotaMessageType ||
+      !fields[2].is_number_integer() || !fields[3].is_number_unsigned() ||
       !internal::IsValidList(reports, internal::kReportFields) ||
       !internal::IsValidList(grants, internal::kGrantFields)) {
     return std::nullopt;
--- a/packages/gateway/src/token_plan.h
+++ b/packages/gateway/src/token_plan.h
@@ -3,7 +3,9 @@
 
 #include <vector>
 
+#include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "base/base.h"
 
 namespace baobabwall::gateway {
 
@@ -11,7 +13,8 @@
 struct TokenHolding {
   double rate_per_s = 0;  ///< Arrival rate of the account's requests.
   double tokens = 0;
-  double capacity = 0;  ///< Maximum number of tokens that can be held.
+  double capacity = 0;     ///< Maximum number of tokens that can be held.
+  bool is_holder = false;  ///< Whether requests are expected here.
 };
 
 /// \brief Tokens that instances give to each other so that the tokens of an
@@ -22,19 +25,30 @@
 /// leads to a worse distribution, because an instance gives what it holds.
 class TokenPlan {
  public:
-  /// Weight of an instance without requests, as a multiple of the mean request
-  /// rate of all instances. The rate of a small account at one instance says
-  /// little about its next request, so tokens are divided nearly equally.
-  static constexpr double kIdleWeight = 2;
-  /// Smallest number of tokens that is given, which bounds the messages.
-  static constexpr double kMinGrant = 0.1;
-
+  /// Time for which the tokens of an instance should suffice, until others have
+  /// learned of its requests and their tokens have arrived.
+  static constexpr absl::Duration kReactionTime = absl::Milliseconds(500);
+  /// Tokens beyond the needed number that an instance keeps, and gets if it
+  /// lacks tokens, so that tokens do not move with each request.
+  static constexpr double kReserve = 0.5;
+  /// Smallest number of tokens that is given, which bounds the messages. A
+  /// smaller grant is replaced by this one with a probability such that the
+  /// mean is the same: many givers with a small surplus each could otherwise
+  /// give nothing to an instance that lacks a token.
+  static constexpr double kMinGrant = 0.25;
+
+  /// \param holdings must exist as long as the plan.
   explicit TokenPlan(absl::Span<const TokenHolding> holdings);
 
   /// \returns the number of tokens that the giver should give to the receiver.
-  double Grant(size_t giver, size_t receiver) const;
+  double Grant(size_t giver, size_t receiver, base::Random* random) const;
 
  private:
+  /// \returns the tokens that an instance needs: a whole one, since less admits
+  /// no request, and one for each request within the reaction time.
+  static double Needed(const TokenHolding& holding);
+
+  absl::Span<const TokenHolding> holdings_;
   std::vector<double> balances_;  ///< Tokens beyond the wanted number.
   double total_surplus_ = 0;
   double total_deficit_ = 0;
