--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -97,6 +97,7 @@
   int arrivals = 0;
   int dropped_answer_period = 0;
   int runs = 0;
+  size_t min_answer_size = 0;
   std::unique_ptr<edge::HttpListener> listener;
 };
 
@@ -402,6 +403,9 @@
   answer.set("X-Server-Stamp", absl::StrCat(backend->id, ".", id));
   answer.body() = absl::StrCat(backend->id, " ran ", id, " ",
                                std::string(request.target()));
+  if (answer.body().size() < backend->min_answer_size) {
+    answer.body().resize(backend->min_answer_size, ' ');
+  }
   answer.prepare_payload();
   auto timer = std::make_shared<edge::asio::steady_timer>(io_);
   timer->expires_after(
@@ -442,6 +446,10 @@
   });
 }
 
+void PlatformStandin::SetAnswerSize(const std::string& id, size_t size) {
+  RunOnLoop([&] { backends_.at(id)->min_answer_size = size; });
+}
+
 void PlatformStandin::AnnounceLeaving(const std::string& id) {
   RunOnLoop([&] { backends_.at(id)->announces_leaving = true; });
 }
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -92,6 +92,9 @@
   void SetFull(const std::string& id,
                bool is_full,
                const std::string& retry_after = "");
+  /// \brief Sets the minimum body size of all later answers of a backend
+  /// server; shorter bodies are padded.
+  void SetAnswerSize(const std::string& id, size_t size);
   /// \brief Lets all later answers of a backend server say that it leaves; its
   /// entry in the store stays as it is.
   void AnnounceLeaving(const std::string& id);
