Quotas: keep the holders while instances restart

Cause: when a large instance leaves, the directory names all small instances of its zone. They became holders at once, and departed holders count for 90 s, so that a rolling restart of a fleet of 82 would have divided the rate by up to 82 while the callers stay at 12 instances.

Change: the holders are chosen among the instances that are announced or were announced in the last 90 s, so that a restart does not change them.

--- a/packages/gateway/src/account_quotas.cc
+++ b/packages/gateway/src/account_quotas.cc
@@ -65,21 +65,23 @@
 void AccountQuotas::SetInstances(std::vector<InstanceRecord> instances,
                                  bool was_announced,
                                  absl::Time now) {
-  const std::set<std::string> names = internal::HolderNames(instances);
-  // The others may have ceased to count a holder that was not named for a time.
-  const auto known_self = holders_.find(self_);
-  const bool was_holder = known_self != holders_.end() &&
-                          known_self->second == absl::InfiniteFuture();
-  for (auto& [name, until] : holders_) {
-    // Tokens may still accrue in a holder that has disappeared.
-    if (names.count(name) == 0 && until == absl::InfiniteFuture()) {
-      until = rules_.count_departed_holders ? now + kDepartedHolderTime : now;
-    }
+  for (const InstanceRecord& instance : instances) {
+    known_instances_[instance.name] = {instance, absl::InfiniteFuture()};
   }
-  for (const std::string& name : names) {
-    holders_[name] = absl::InfiniteFuture();
+  std::set<std::string> announced;
+  for (const InstanceRecord& instance : instances) {
+    announced.insert(instance.name);
+  }
+  for (auto& [name, known] : known_instances_) {
+    // Tokens may still accrue in an instance that has disappeared.
+    if (announced.count(name) == 0 && known.until == absl::InfiniteFuture()) {
+      known.until =
+          rules_.count_departed_holders ? now + kDepartedHolderTime : now;
+    }
   }
-  if (!was_holder && names.count(self_) > 0) {
+  const bool was_holder = IsHolder(self_);
+  UpdateHolders(now);
+  if (!was_holder && IsHolder(self_)) {
     accrues_from_ = was_announced || !rules_.delay_new_holders
                         ? now
                         : now + kNewHolderDelay;
@@ -99,14 +101,27 @@
       peer.incarnation = instance.incarnation;
     }
     peer.endpoint = {instance.callers.address, instance.peer_port};
-    peer.is_holder = names.count(instance.name) > 0;
+    peer.is_holder = IsHolder(instance.name);
   }
   peers_ = std::move(peers);
 }
 
-void AccountQuotas::ExpireHolders(absl::Time now) {
-  for (auto holder = holders_.begin(); holder != holders_.end();) {
-    holder = now >= holder->second ? holders_.erase(holder) : std::next(holder);
+void AccountQuotas::UpdateHolders(absl::Time now) {
+  std::vector<InstanceRecord> instances;
+  next_expiry_ = absl::InfiniteFuture();
+  for (auto known = known_instances_.begin();
+       known != known_instances_.end();) {
+    if (now >= known->second.until) {
+      known = known_instances_.erase(known);
+      continue;
+    }
+    next_expiry_ = std::min(next_expiry_, known->second.until);
+    instances.push_back(known->second.record);
+    ++known;
+  }
+  holders_ = internal::HolderNames(instances);
+  for (auto& [name, peer] : peers_) {
+    peer.is_holder = IsHolder(name);
   }
 }
 
@@ -117,9 +132,7 @@
 }
 
 double AccountQuotas::BaseShare(absl::Time now) const {
-  const auto self = holders_.find(self_);
-  if (self == holders_.end() || self->second != absl::InfiniteFuture() ||
-      now < accrues_from_) {
+  if (!IsHolder(self_) || now < accrues_from_) {
     return 0;
   }
   return 1 / static_cast<double>(holders_.size());
@@ -272,7 +285,9 @@
     return messages;
   }
   planned_at_ = now;
-  ExpireHolders(now);
+  if (now >= next_expiry_) {
+    UpdateHolders(now);
+  }
   if (!TakesPart(now)) {
     return messages;
   }
--- a/packages/gateway/src/account_quotas.h
+++ b/packages/gateway/src/account_quotas.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -178,7 +179,15 @@
     std::vector<TokenGrant> grants;  ///< To be sent with the next message.
   };
 
-  bool IsHolder(absl::string_view instance) const {
+  /// An instance that counts for the choice of the holders. It counts for a
+  /// time after it has disappeared, so that the holders do not change if an
+  /// instance restarts: all instances would accrue a smaller part of the rate.
+  struct KnownInstance {
+    InstanceRecord record;
+    absl::Time until;
+  };
+
+  bool IsHolder(const std::string& instance) const {
     return holders_.count(instance) > 0;
   }
   /// \returns an interval that is longer in a fleet with many holders.
@@ -192,7 +201,8 @@
   void PlanGrants(uint32_t key, Account* account, absl::Time now);
   /// \returns the reports that have changed or must be repeated.
   std::vector<AccountReport> TakeReports(absl::Time now);
-  void ExpireHolders(absl::Time now);
+  /// \brief Determines the holders among the instances that count.
+  void UpdateHolders(absl::Time now);
   /// \returns whether this instance holds or uses tokens.
   bool TakesPart(absl::Time now);
 
@@ -203,9 +213,10 @@
   QuotaRules rules_;
   absl::flat_hash_map<uint32_t, Account> accounts_;  ///< By AccountKey().
   std::map<std::string, Peer, std::less<>> peers_;   ///< By name.
-  /// Instances in which tokens accrue, with the time at which they cease to
-  /// count.
-  std::map<std::string, absl::Time, std::less<>> holders_;
+  /// Announced instances, and those that have disappeared recently.
+  std::map<std::string, KnownInstance> known_instances_;
+  absl::Time next_expiry_ = absl::InfiniteFuture();  ///< Of a known instance.
+  std::set<std::string> holders_;  ///< Instances in which tokens accrue.
   absl::Time accrues_from_ = absl::InfiniteFuture();
   absl::Time planned_at_ = absl::InfinitePast();
   uint64_t sequence_ = 0;
