Answer 503 to unknown keys where the configuration may be outdated

Cause: Steering::SetConfigFreshness() had no caller, so an instance that had lost the store, or that lagged behind its peers, answered 401 to a key that was newer than its configuration; callers do not retry after 401. The fields of a trailer were added to those of the head: a chunked request could repeat or replace its credentials after the head was judged.

Change: GatewayControl publishes the freshness with its view: out of date if the store is lost, or if a peer has known an unread revision for 1.5 s (RevisionLag measures from the oldest unread one, because peers are one batch ahead all the time while the store is written). The listener drops the fields of trailers. RecordHeadRefusal() is for refusals of unread requests.

--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -140,6 +140,8 @@
       return;
     }
     parser_.emplace();
+    chunked_head_.reset();
+    parser_->on_chunk_header(on_chunk_header_);
     parser_->header_limit(listener_->limits_.header_bytes);
     parser_->body_limit(listener_->limits_.body_bytes);
     is_reading_ = true;
@@ -188,6 +190,12 @@
     last_activity_ = transport::SteadyNow();
     HttpRequest request = parser_->release();
     parser_.reset();
+    if (chunked_head_) {
+      // Beast adds the fields of the trailer to those of the head. They must
+      // not replace or repeat credentials that the head has shown.
+      request.base() = *std::move(chunked_head_);
+      chunked_head_.reset();
+    }
     PendingExchange pending;
     pending.exchange = ++listener_->last_exchange_id_;
     pending.is_keep_alive = request.keep_alive();
@@ -332,6 +340,16 @@
   /// Bounds the data that is received but not parsed, for example an extension
   /// of a chunk.
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
+  /// Stores the head of a chunked message before the fields of the trailer are
+  /// added to it.
+  std::function<void(uint64_t, boost::beast::string_view, error_code&)>
+      on_chunk_header_ =
+          [this](uint64_t, boost::beast::string_view, error_code&) {
+            if (!chunked_head_) {
+              chunked_head_ = parser_->get().base();
+            }
+          };
+  std::optional<HttpRequest::header_type> chunked_head_;
   std::optional<Parser> parser_;
   std::deque<PendingExchange> pending_exchanges_;
   std::vector<char> discard_buffer_;
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -69,6 +69,7 @@
           self_.incarnation),
       peers_(self_.name, self_.zone, self_.region),
       request_log_(settings.log_lines_per_s),
+      account_counters_(metrics),
       caller_listener_(
           &io_,
           {[this](ExchangeId exchange, HttpRequest request) {
@@ -171,8 +172,10 @@
       (previous == nullptr || previous->config != view_->config)) {
     steering_.SetConfig(view_->config);
     steering_.quotas().SetAccounts(view_->config->accounts(), now);
+    account_counters_.SetAccounts(view_->config->accounts());
     caller_listener_.SetLimits(view_->config->limits());
   }
+  steering_.SetConfigFreshness(view_->freshness);
   steering_.SetBackends(*view_->backends);
   backend_client_.RetainServers(*view_->backends);
   if (previous == nullptr || previous->instances != view_->instances) {
@@ -310,6 +313,7 @@
   if (record.reason != gateway::kAnswered) {
     metrics_->Refused(record.service, record.reason);
   }
+  account_counters_.Count(record);
   if (record.status == 0) {
     // The caller has disconnected, so no answer is sent.
     const auto pending = pending_requests_.find(record.request->id);
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
+#include "edge/src/account_counters.h"
 #include "edge/src/backend_client.h"
 #include "edge/src/dialect.h"
 #include "edge/src/http_listener.h"
@@ -146,6 +147,7 @@
   gateway::PeerTable peers_;
   gateway::LookupCache lookup_cache_;
   RequestLog request_log_;
+  AccountCounters account_counters_;
   HttpListener caller_listener_;
   HttpListener readiness_listener_;
   HttpListener lookup_listener_;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "gateway/src/registration.h"
 #include "gateway/src/request_record.h"
 #include "gateway/src/retry_allowance.h"
+#include "gateway/src/revision_lag.h"
 #include "gateway/src/routing_config.h"
 #include "gateway/src/server_load.h"
 #include "gateway/src/state_change.h"
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -237,6 +237,7 @@
     behind_peers_since_ = absl::InfiniteFuture();
     return;
   }
+  peer_lag_.OnReported(revision, now);
   behind_peers_since_ = std::min(behind_peers_since_, now);
   if (now - behind_peers_since_ < kMaxPeerRevisionLag ||
       !reader_.is_pending()) {
@@ -273,6 +274,7 @@
     reader_.OnAnswer(answer, now);
     last_read_ = now;
     mirror_.OnRevision(reader_.revision());
+    peer_lag_.OnRead(reader_.revision());
     behind_peers_since_ = absl::InfiniteFuture();
     return;
   }
@@ -400,6 +402,9 @@
   if (config_ != nullptr && change.config->version() <= config_->version()) {
     return;
   }
+  if (config_ != nullptr) {
+    change.config->ShareAccounts(*config_);
+  }
   config_ = change.config;
   registry_.OnConfig(config_);
   is_changed_ = true;
@@ -432,10 +437,19 @@
                           " revision=", reader_.revision()));
 }
 
+ConfigFreshness GatewayControl::Freshness(absl::Time now) const {
+  const bool may_be_outdated =
+      reader_.is_store_unreachable() || peer_lag_.Lag(now) >= kMaxCurrentLag;
+  return may_be_outdated ? ConfigFreshness::kMayBeOutdated
+                         : ConfigFreshness::kCurrent;
+}
+
 void GatewayControl::PublishIfChanged() {
   const bool is_registry_changed = registry_.TakeChanged();
-  const bool is_changed =
-      is_registry_changed || is_changed_ || are_instances_changed_;
+  const ConfigFreshness freshness = Freshness(now_);
+  const bool is_changed = is_registry_changed || is_changed_ ||
+                          are_instances_changed_ ||
+                          freshness != published_freshness_;
   if (!reader_.has_complete_read() || !is_changed) {
     is_changed_ = is_changed;
     return;
@@ -450,6 +464,8 @@
   view->instances = published_instances_;
   view->crashing_requests = crashing_requests_;
   view->revision = reader_.revision();
+  view->freshness = freshness;
+  published_freshness_ = freshness;
   hooks_.publish(std::move(view));
 }
 
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -12,8 +12,10 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "control/control.h"
+#include "gateway/src/authorization.h"
 #include "gateway/src/backend_registry.h"
 #include "gateway/src/registration.h"
+#include "gateway/src/revision_lag.h"
 #include "gateway/src/state_change.h"
 #include "gateway/src/state_mirror.h"
 #include "gateway/src/state_reader.h"
@@ -33,6 +35,8 @@
   std::set<uint64_t> crashing_requests;  ///< Fingerprints of the requests.
   /// Store revision up to which all changes are included.
   int64_t revision = 0;
+  /// Whether this instance knows that it may miss newer changes.
+  ConfigFreshness freshness = ConfigFreshness::kCurrent;
 };
 
 /// \brief Maintains a copy of the shared state and the record of this instance.
@@ -52,6 +56,10 @@
   /// lost, and the watch is renewed.
   static constexpr absl::Duration kMaxPeerRevisionLag =
       absl::Milliseconds(1200);
+  /// Maximum time for which another instance may know a revision that this
+  /// instance has not read, before the view counts as possibly outdated. Allows
+  /// for a watch that is renewed after kMaxPeerRevisionLag.
+  static constexpr absl::Duration kMaxCurrentLag = absl::Milliseconds(1500);
   /// Call timing of an instance from which others read. The batch delay is
   /// shorter because one call of this instance serves many instances.
   static constexpr StateReader::CallTiming kReaderCallTiming{
@@ -162,6 +170,8 @@
   void ApplyConfig(const ConfigWritten& change);
   void ApplyInstance(const InstanceWritten& change);
   void EndCompleteRead(const std::vector<std::string>& keys);
+  /// \returns whether this instance may miss newer changes.
+  ConfigFreshness Freshness(absl::Time now) const;
   void PublishIfChanged();
   void PublishInstances();
   void LogCrash(uint64_t fingerprint, bool is_ended);
@@ -193,6 +203,8 @@
   std::set<std::string> servers_in_read_;
   std::set<std::string> zones_in_read_;
   absl::Time behind_peers_since_ = absl::InfiniteFuture();
+  RevisionLag peer_lag_;
+  ConfigFreshness published_freshness_ = ConfigFreshness::kCurrent;
   absl::Time last_read_ = absl::InfinitePast();
   /// Time at which the last answered call to the store was sent. An answer may
   /// have waited in the socket while the process was suspended.
--- a/packages/gateway/src/routing_config.cc
+++ b/packages/gateway/src/routing_config.cc
@@ -42,7 +42,7 @@
   return *this;
 }
 
-std::shared_ptr<const RoutingConfig> RoutingConfig::Builder::Build() {
+std::shared_ptr<RoutingConfig> RoutingConfig::Builder::Build() {
   return std::exchange(config_, std::make_shared<RoutingConfig>());
 }
 
@@ -73,6 +73,26 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+void RoutingConfig::ShareAccounts(const RoutingConfig& previous) {
+  absl::flat_hash_map<absl::string_view, std::shared_ptr<const ClientAccount>>
+      previous_by_name;
+  for (const auto& account : previous.accounts_) {
+    previous_by_name.emplace(account->name, account);
+  }
+  const auto share = [&](std::shared_ptr<const ClientAccount>* account) {
+    const auto found = previous_by_name.find((*account)->name);
+    if (found != previous_by_name.end() && *found->second == **account) {
+      *account = found->second;
+    }
+  };
+  for (auto& account : accounts_) {
+    share(&account);
+  }
+  for (auto& [api_key, account] : accounts_by_key_) {
+    share(&account);
+  }
+}
+
 std::shared_ptr<const ClientAccount> RoutingConfig::FindAccount(
     ApiKey api_key) const {
   const auto found = accounts_by_key_.find(api_key.text_);
--- a/packages/gateway/src/routing_config.h
+++ b/packages/gateway/src/routing_config.h
@@ -71,12 +71,17 @@
     /// \param api_keys keys that identify the callers of the account.
     Builder& AddAccount(std::shared_ptr<const ClientAccount> account,
                         absl::Span<const std::string> api_keys);
-    std::shared_ptr<const RoutingConfig> Build();
+    std::shared_ptr<RoutingConfig> Build();
 
    private:
     std::shared_ptr<RoutingConfig> config_ = std::make_shared<RoutingConfig>();
   };
 
+  /// \brief Replaces accounts by the equal accounts of an earlier version, so
+  /// that only changed accounts are stored more than once. Must not be called
+  /// after the configuration is in force.
+  void ShareAccounts(const RoutingConfig& previous);
+
   int64_t version() const { return version_; }
   const RequestLimits& limits() const { return limits_; }
   size_t route_count() const { return route_count_; }
--- a/packages/gateway/src/state_change.h
+++ b/packages/gateway/src/state_change.h
@@ -15,7 +15,8 @@
 
 /// \brief A configuration was written by the operators.
 struct ConfigWritten {
-  std::shared_ptr<const RoutingConfig> config;
+  /// Does not change after the configuration is in force.
+  std::shared_ptr<RoutingConfig> config;
 };
 
 struct BackendWritten {
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -70,68 +70,6 @@
   return now - last_request_at_ < internal::kActiveTimeout;
 }
 
-bool Steering::Admit(Request* request,
-                     const Credentials& credentials,
-                     absl::Time now,
-                     SteeringActions* actions) {
-  if (config_ == nullptr) {
-    RefuseRequest(request, kHttpUnavailable, "no-configuration", now, actions);
-    return false;
-  }
-  request->route =
-      config_->FindRoute(request->caller.host, request->caller.path);
-  if (request->route == nullptr) {
-    RefuseRequest(request, kHttpNotFound, "no-route", now, actions);
-    return false;
-  }
-  Authorization authorization =
-      Authorize(*config_, *request->route, credentials, config_freshness_);
-  if (!authorization.is_granted()) {
-    RefuseRequest(request, authorization.status, authorization.refusal, now,
-                  actions);
-    return false;
-  }
-  request->account = std::move(authorization.account);
-  request->allowed_regions =
-      IntersectRegions(*request->route, request->account.get());
-  if (request->allowed_regions.is_restricted &&
-      request->allowed_regions.regions.empty()) {
-    RefuseRequest(request, kHttpUnavailable, "no-allowed-region", now, actions);
-    return false;
-  }
-  if (request->account != nullptr) {
-    request->quota = quotas_.Admit(*request->account, now);
-  }
-  if (!request->quota.is_admitted) {
-    RefuseRequest(request, kHttpTooManyRequests, "quota", now, actions);
-    return false;
-  }
-  return true;
-}
-
-std::optional<Refuse> Steering::CheckHead(absl::string_view host,
-                                          absl::string_view path,
-                                          const Credentials& credentials) {
-  const Route* route =
-      config_ == nullptr ? nullptr : config_->FindRoute(host, path);
-  if (route == nullptr) {
-    // Refused by OnRequest(), which also records the reason.
-    return std::nullopt;
-  }
-  const Authorization authorization =
-      Authorize(*config_, *route, credentials, config_freshness_);
-  if (authorization.is_granted()) {
-    return std::nullopt;
-  }
-  Refuse refuse;
-  refuse.status = authorization.status;
-  refuse.reason = std::string(authorization.refusal);
-  if (refuse.status == kHttpUnavailable) {
-    refuse.retry_after = kNoConfigRetryAfter;
-  }
-  return refuse;
-}
-
 SteeringActions Steering::OnRequest(CallerRequest caller,
                                     absl::Time now,
                                     const Credentials& credentials) {
@@ -518,7 +456,7 @@
 }
 
 absl::Duration Steering::RetryAfter(const Request& request, absl::Time now) {
-  if (request.route == nullptr) {
+  if (request.route == nullptr || request.needs_newer_config) {
     return kNoConfigRetryAfter;
   }
   if (request.pause_end) {
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -118,6 +118,11 @@
   std::optional<Refuse> CheckHead(absl::string_view host,
                                   absl::string_view path,
                                   const Credentials& credentials);
+  /// \brief Records a request that was refused by CheckHead(), so that it
+  /// appears in the log and in the metrics.
+  void RecordHeadRefusal(const CallerRequest& caller,
+                         const Refuse& refuse,
+                         absl::Time now);
   SteeringActions OnAttemptEnd(const AttemptEnd& end, absl::Time now);
 
   /// \brief Called when the caller has closed its connection.
@@ -165,6 +170,8 @@
     std::shared_ptr<const ClientAccount> account;
     AllowedRegions allowed_regions;
     AccountQuotas::Decision quota;
+    /// Whether only a newer configuration can admit the request.
+    bool needs_newer_config = false;
     std::string service;
     absl::Time deadline;
     bool was_refused_before = false;
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -187,7 +187,11 @@
   if (version >= 10) {
     paths.push_back(MakeRoute("later", true));
   }
-  const json config = {
+  if (!accounts_.empty()) {
+    paths.push_back(MakeRoute("open", true));
+    paths.back()["public"] = true;
+  }
+  json config = {
       {"version", version},
       {"services",
        {{{"name", "s"},
@@ -201,6 +205,9 @@
         {"header_timeout_ms", 3000},
         {"idle_timeout_ms", 15000}}},
       {"virtual_hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
+  if (!accounts_.empty()) {
+    config["tenants"] = json::parse(accounts_);
+  }
   platform_.Put("op/config", config.dump());
 }
 
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -83,6 +83,11 @@
   /// /later/.
   void PutConfig(int version);
 
+  /// \brief Sets the client accounts of configurations that are written after
+  /// this call, as a JSON list. These configurations also have the public route
+  /// /open/.
+  void SetAccounts(std::string accounts) { accounts_ = std::move(accounts); }
+
   PlatformStandin& platform() { return platform_; }
 
  private:
@@ -101,6 +106,7 @@
   int store_port_;
   int standard_output_ = -1;
   std::string extra_settings_;
+  std::string accounts_;
   std::map<std::string, Instance> instances_;
 };
 
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -377,6 +377,12 @@
   arrival.server = backend->id;
   arrival.id = id;
   arrival.at = absl::Now();
+  arrival.credential_count =
+      static_cast<int>(request.count(edge::http::field::authorization));
+  const auto [first, last] = request.equal_range("X-Tenant");
+  for (auto header = first; header != last; ++header) {
+    arrival.accounts.emplace_back(header->value());
+  }
   if (backend->is_full) {
     answer.result(503);
     answer.set("X-Not-Executed", "1");
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -31,6 +31,8 @@
   absl::Time at;
   /// Pause that the server asked for when it refused the request.
   absl::Duration requested_pause;
+  std::vector<std::string> accounts;  ///< All values of the account header.
+  int credential_count = 0;           ///< Headers with a caller's credentials.
 };
 
 /// \brief Fault that the store simulates.
