--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -619,6 +619,41 @@
   CHECK(watches() == before);
 }
 
+// Guards against 401 for a key that is newer than the configuration of an
+// instance that knows that it is out of date, and against 503 for each unknown
+// key while changes are only read in batches.
+TEST_CASE("an instance that knows that it lags marks its view as outdated") {
+  ControlFixture c;
+  c.AnswerReader(Ok(5), kStart);
+  REQUIRE(c.view != nullptr);
+  CHECK(c.view->freshness == ConfigFreshness::kCurrent);
+  // Peers are always one batch ahead, but each revision is read in time.
+  absl::Time now = kStart;
+  for (int64_t revision = 6; revision < 16; ++revision) {
+    c.control.OnPeerRevision(revision, now);
+    c.control.OnPeerRevision(revision + 1, now + absl::Milliseconds(900));
+    c.AnswerReader(Ok(revision), now + absl::Milliseconds(950));
+    now += absl::Seconds(1);
+    c.control.OnTick(now);
+    CHECK(c.view->freshness == ConfigFreshness::kCurrent);
+  }
+  // A renewed watch that is answered without the change does not help.
+  c.control.OnPeerRevision(20, now);
+  c.calls.clear();  // The answer to the pending watch is lost.
+  c.control.OnPeerRevision(20, now + absl::Milliseconds(1250));
+  c.AnswerReader(Ok(16), now + absl::Milliseconds(1300));
+  c.control.OnTick(now + absl::Milliseconds(1400));
+  CHECK(c.view->freshness == ConfigFreshness::kCurrent);
+  c.control.OnTick(now + absl::Milliseconds(1500));
+  CHECK(c.view->freshness == ConfigFreshness::kMayBeOutdated);
+  c.AnswerReader(Ok(20), now + absl::Milliseconds(1600));
+  CHECK(c.view->freshness == ConfigFreshness::kCurrent);
+  // The store is lost.
+  c.AnswerReader(Failed(StoreStatus::kUnknown), now + absl::Seconds(2));
+  c.control.OnTick(now + absl::Seconds(2));
+  CHECK(c.view->freshness == ConfigFreshness::kMayBeOutdated);
+}
+
 // Guards against a reader that was suspended and passes on a state that is out
 // of date: servers that have left meanwhile would be in use again.
 TEST_CASE("a reader that was paused serves only after the store has answered") {
