--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -25,14 +25,17 @@
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
 #include "absl/types/span.h"
+#include "account_oracle.h"
 #include "base/base.h"
 #include "gateway_fleet.h"
 #include "loopback_proxy.h"
 #include "pipelining_caller.h"
+#include "soak_records.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "random seed of the injected faults");
 ABSL_FLAG(int, seconds, 20, "duration of the fault injection");
 ABSL_FLAG(int, instances, 3, "number of gateway processes");
+ABSL_FLAG(bool, accounts, false, "whether callers present API keys");
 ABSL_FLAG(uint64_t,
           fault_kinds,
           17,
@@ -66,33 +69,6 @@
 /// First part of the ids of pipelined requests; the instance is the next one.
 constexpr char kPipelinedName[] = "kept";
 
-struct SentRequest {
-  bool is_booking = false;
-  int status = 0;
-  int instance = 0;
-  absl::Time sent_at;
-  absl::Time answered_at;
-  std::string server;  ///< Server that ran the request, if it was answered.
-  bool is_server_leaving = false;
-};
-
-/// Times at which something was disturbed that excuses later behaviour.
-class Disturbances {
- public:
-  void Add(const std::string& what, absl::Time at) {
-    times_[what].push_back(at);
-  }
-  bool Any(const std::string& what, absl::Time begin, absl::Time end) const {
-    const auto times = times_.find(what);
-    return times != times_.end() &&
-           std::any_of(times->second.begin(), times->second.end(),
-                       [&](absl::Time at) { return begin <= at && at <= end; });
-  }
-
- private:
-  std::map<std::string, std::vector<absl::Time>> times_;
-};
-
 class Soak {
  public:
   Soak(uint64_t seed, int instances, uint64_t fault_kinds)
@@ -107,6 +83,9 @@
       backend_proxies_.push_back(std::make_unique<LoopbackProxy>(port));
       return backend_proxies_.back()->port();
     });
+    if (has_accounts_) {
+      fleet_.SetAccounts(AccountOracle::Accounts());
+    }
     fleet_.PutConfig(version_);
     for (int i = 0; i < 4; ++i) {
       AddBackend();
@@ -125,7 +104,10 @@
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([this, i] { SendRequests(i); });
     }
-    for (int i = 0; i < std::min(instances_, kMaxPipeliningCallers); ++i) {
+    // The pipelining callers have no keys.
+    const int pipelining_callers =
+        has_accounts_ ? 0 : std::min(instances_, kMaxPipeliningCallers);
+    for (int i = 0; i < pipelining_callers; ++i) {
       pipelining_callers_.push_back(std::make_unique<PipeliningCaller>(
           fleet_.caller_port(Name(i)), absl::StrCat(kPipelinedName, "-", i)));
     }
@@ -147,6 +129,7 @@
       kept_answers += caller->answer_count();
     }
     CheckRuns();
+    CheckAccounts();
     CheckPipelinedRequests();
     CheckLeavingServers();
     CheckPauses();
@@ -191,6 +174,7 @@
       const std::string id = absl::StrCat("id-", caller, "-", i);
       const bool is_booking = random.Below(2) == 0;
       const int instance = static_cast<int>(random.Below(instances_));
+      const AccountOracle::Caller identity = AccountOracle::CallerOf(i);
       SentRequest sent;
       sent.is_booking = is_booking;
       sent.instance = instance;
@@ -199,7 +183,8 @@
           Call(fleet_.caller_port(Name(instance)), is_booking ? "POST" : "GET",
                is_booking ? "/book/x" : "/read/x",
                {absl::StrCat("X-Request-Id: ", id), "X-Deadline-Ms: 1500",
-                absl::StrCat("Cookie: X-Affinity-Key=", random.Below(20))},
+                absl::StrCat("Cookie: X-Affinity-Key=", random.Below(20)),
+                has_accounts_ ? identity.header : "X-Other: 1"},
                is_booking ? absl::StrCat("card=", id) : "");
       if (answer.status == 200) {
         CheckGuarantee(answer.is_signed,
@@ -210,6 +195,11 @@
       }
       CheckGuarantee(answer.status != 404,
                      absl::StrCat(id, " is not answered with 404"));
+      if (has_accounts_) {
+        const std::string finding =
+            account_oracle_.OnAnswer(id, identity, answer.status);
+        CheckGuarantee(finding.empty(), finding);
+      }
       sent.answered_at = absl::Now();
       sent.status = answer.status;
       sent.server = answer.body.substr(0, answer.body.find(' '));
@@ -399,8 +389,10 @@
           [&] {
             const std::string id =
                 absl::StrCat("id-last-", i, "-", ++last_probe_id_);
-            const CallerAnswer answer = Call(
-                port, "GET", "/read/x", {absl::StrCat("X-Request-Id: ", id)});
+            const CallerAnswer answer =
+                Call(port, "GET", "/read/x",
+                     {absl::StrCat("X-Request-Id: ", id),
+                      AccountOracle::HeaderOf("plain")});
             successes = answer.status == 200 ? successes + 1 : 0;
             return successes >= kRequiredSuccesses;
           },
@@ -538,6 +530,18 @@
     }
   }
 
+  void CheckAccounts() {
+    for (const std::string& finding :
+         account_oracle_.CheckArrivals(fleet_.platform().arrivals())) {
+      CheckGuarantee(false, finding);
+    }
+    for (int i = 0; i < instances_; ++i) {
+      CheckGuarantee(
+          !absl::StrContains(fleet_.Log(Name(i)), AccountOracle::kKeyMark),
+          absl::StrCat("the log of ", Name(i), " contains no key"));
+    }
+  }
+
   void CheckRuns() {
     for (const auto& [id, executed_request] :
          fleet_.platform().executed_requests()) {
@@ -570,6 +574,8 @@
   int fault_count_ = 0;
   int leaving_checks_ = 0;
   int pause_checks_ = 0;
+  bool has_accounts_ = absl::GetFlag(FLAGS_accounts);
+  AccountOracle account_oracle_;
   std::vector<std::unique_ptr<PipeliningCaller>> pipelining_callers_;
   Disturbances disturbances_;
   /// Servers whose connections were silent or delayed at some time.
