--- a/test/gateway_account_test.cc
+++ b/test/gateway_account_test.cc
@@ -90,12 +90,12 @@
     return result;
   }
 
-  std::string NextId() { return last_id = absl::StrCat("id-", ++id_count_); }
+  std::string NextId() { return last_id = absl::StrCat("id-", ++id_count); }
 
   std::string last_id;
 
  private:
-  static inline int id_count_ = 0;  ///< Ids are unique among all callers.
+  static inline int id_count = 0;  ///< Ids are unique among all callers.
 
   edge::asio::io_context io_;
   edge::tcp::socket socket_;
