--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -210,7 +210,11 @@
   if (version >= 10) {
     paths.push_back(MakeRoute("later", true));
   }
-  const json config = {
+  if (!accounts_.empty()) {
+    paths.push_back(MakeRoute("open", true));
+    paths.back()["public"] = true;
+  }
+  json config = {
       {"version", version},
       {"services",
        {{{"name", "s"},
@@ -224,6 +228,9 @@
         {"header_timeout_ms", 3000},
         {"idle_timeout_ms", limits.idle_timeout_ms}}},
       {"virtual_hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
+  if (!accounts_.empty()) {
+    config["tenants"] = json::parse(accounts_);
+  }
   platform_.Put("op/config", config.dump());
 }
 
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -97,6 +97,11 @@
   /// /later/.
   void PutConfig(int version, const ConfigLimits& limits = {});
 
+  /// \brief Sets the client accounts of configurations that are written after
+  /// this call, as a JSON list. These configurations also have the public route
+  /// /open/.
+  void SetAccounts(std::string accounts) { accounts_ = std::move(accounts); }
+
   PlatformStandin& platform() { return platform_; }
 
  private:
@@ -120,6 +125,7 @@
   int standard_output_ = -1;
   int descriptor_limit_ = 0;
   std::string extra_settings_;
+  std::string accounts_;
   std::map<std::string, Instance> instances_;
 };
 
