--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -14,6 +14,7 @@
 #include "edge/src/incoming.h"
 #include "edge/src/line_limit.h"
 #include "edge/src/log_writer.h"
+#include "edge/src/memory_budget.h"
 #include "edge/src/peer_channel.h"
 #include "edge/src/relay_codec.h"
 #include "edge/src/request_log.h"
