Send the body of a request without copying it for each attempt

Each attempt copied the whole request, so a large body was held twice or more.

The attempt copies only the head and sends the body from the caller's request. Answers that are being received can be counted in a memory budget; they may use a quarter of it, and at most 48 MiB as before.

--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <utility>
@@ -50,7 +51,8 @@
         request_(std::move(request)),
         request_id_(std::move(request_id)),
         deadline_(transport::SteadyNow() + start.time_left),
-        timer_(*client->io_) {}
+        timer_(*client->io_),
+        answer_memory_(client->budget_, MemoryBudget::Use::kAnswer) {}
 
   void Run() {
     // On a reused connection, a late answer to an earlier request can only be
@@ -79,6 +81,8 @@
   uint64_t buffered_bytes() const { return buffered_bytes_; }
 
  private:
+  using ForwardedRequest = http::request<http::span_body<const char>>;
+
   /// State of a read; lives as long as the read is pending.
   struct PendingRead {
     boost::beast::flat_buffer buffer{kMaxHeaderBytes};
@@ -142,9 +146,7 @@
       FailLater();
       return;
     }
-    forwarded_request_ = client_->dialect_->forward_request(
-        *request_,
-        {start_.server, deadline_ - transport::SteadyNow(), start_.identity});
+    PrepareRequest();
     http::async_write(
         connection_->socket, forwarded_request_,
         [self = shared_from_this()](error_code error, size_t bytes) {
@@ -154,6 +156,19 @@
     ReadAnswer();
   }
 
+  /// The body is sent from the caller's request; only the head is copied.
+  void PrepareRequest() {
+    HttpRequest head = client_->dialect_->forward_request(
+        HttpRequest(request_->base()),
+        {start_.server, deadline_ - transport::SteadyNow(), start_.identity});
+    if (!request_->body().empty()) {
+      head.content_length(request_->body().size());
+    }
+    forwarded_request_ = ForwardedRequest(std::move(head.base()));
+    forwarded_request_.body() = {request_->body().data(),
+                                 request_->body().size()};
+  }
+
   void OnSent(error_code error, size_t bytes) {
     if (is_finished_) {
       return;
@@ -213,6 +228,7 @@
   void SetBufferedBytes(uint64_t bytes) {
     client_->buffered_bytes_ += bytes - buffered_bytes_;
     buffered_bytes_ = bytes;
+    answer_memory_.Resize(bytes);
   }
 
   void OnAnswer(error_code error) {
@@ -317,7 +333,8 @@
   absl::Time deadline_;
   asio::steady_timer timer_;
   std::shared_ptr<Connection> connection_;
-  HttpRequest forwarded_request_;
+  ForwardedRequest forwarded_request_;
+  MemoryBudget::Reservation answer_memory_;
   std::shared_ptr<PendingRead> pending_read_;
   gateway::AttemptEnd attempt_end_;
   absl::Time connect_start_;
@@ -357,7 +374,11 @@
 }
 
 void BackendClient::EnforceBufferLimit() {
-  while (buffered_bytes_ > kMaxBufferedBytes) {
+  uint64_t max_bytes = kMaxBufferedBytes;
+  if (budget_ != nullptr) {
+    max_bytes = std::min(max_bytes, budget_->limit() / kBudgetDivisor);
+  }
+  while (buffered_bytes_ > max_bytes) {
     const auto largest = std::max_element(
         attempts_.begin(), attempts_.end(), [](const auto& a, const auto& b) {
           return a.second->buffered_bytes() < b.second->buffered_bytes();
--- a/packages/edge/src/backend_client.h
+++ b/packages/edge/src/backend_client.h
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "edge/src/dialect.h"
 #include "edge/src/http_message.h"
+#include "edge/src/memory_budget.h"
 
 namespace baobabwall::edge {
 
@@ -42,6 +43,9 @@
   /// may send data without end, and several servers at once must not use up the
   /// memory of the instance. Beyond it, the largest answer is given up.
   static constexpr uint64_t kMaxBufferedBytes = 48 * 1024 * 1024;
+  /// With a memory budget, answers that are being received may use this part of
+  /// it: twice the part that is reserved for answers.
+  static constexpr uint64_t kBudgetDivisor = 4;
   /// Maximum number of interim answers and of answers to other requests before
   /// the answer to a request.
   static constexpr int kMaxSkippedAnswers = 16;
@@ -60,6 +64,9 @@
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
+  /// \param budget must outlive the client and its event loop.
+  void SetBudget(MemoryBudget* budget) { budget_ = budget; }
+
   /// \param request the caller's request, unchanged.
   /// \param request_id request id that the answer must have; empty to accept
   /// any id.
@@ -101,6 +108,7 @@
   asio::io_context* io_;
   const Dialect* dialect_;
   DoneCallback on_done_;
+  MemoryBudget* budget_ = nullptr;
   absl::flat_hash_map<gateway::AttemptId, std::shared_ptr<Attempt>> attempts_;
   std::map<std::string, std::vector<std::shared_ptr<Connection>>>
       idle_connections_;
