Bound the memory, descriptors and time of uncontrolled clients

Clients with many large or incomplete bodies, unread answers or connections could use up the memory or the descriptors of a process.

[limits] memory_mb bounds what requests and answers hold, with a memory budget. A body grows only with room in it; otherwise reading pauses, and after 500 ms incomplete requests are refused with 503, large ones first. A request in flight keeps its reservation until its last attempt ends. A body or an answer without progress of 4 KiB in [limits] progress_s (10 s) is ended; TCP_USER_TIMEOUT of callers' connections is raised to that time, and their socket buffers are bounded. [limits] max_fds bounds the callers' connections: unused ones are closed first, then accepting pauses. The allocator returns freed bodies to the system at once. Without [limits], the bounds are as before.

--- a/packages/edge/src/http_connection.cc
+++ b/packages/edge/src/http_connection.cc
@@ -1,10 +1,8 @@
 #include "edge/src/http_connection.h"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/write.hpp>
 #include <utility>
 
 #include "edge/src/incoming.h"
@@ -14,11 +12,12 @@
 namespace baobabwall::edge {
 namespace internal {
 
+/// Time after which memory is likely available again.
+constexpr char kRetryAfterSeconds[] = "1";
+
 /// Smallest space for received data behind data that is not parsed yet.
 constexpr size_t kMinReceiveBytes = 512;
 
-constexpr absl::string_view kContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
-
 bool ExpectsContinue(const RequestHead& head) {
   return boost::beast::iequals(head[http::field::expect], "100-continue");
 }
@@ -28,10 +27,21 @@
 HttpListener::Connection::Connection(HttpListener* listener, tcp::socket socket)
     : listener_(listener),
       socket_(std::move(socket)),
-      last_activity_(transport::SteadyNow()) {}
+      connection_memory_(listener->client_limits_.budget,
+                         MemoryBudget::Use::kAnswer),
+      last_activity_(transport::SteadyNow()),
+      progress_time_(last_activity_) {}
 
 void HttpListener::Connection::Start() {
-  SetStreamOptions(&socket_);
+  const ClientLimits& limits = listener_->client_limits_;
+  if (limits.budget != nullptr) {
+    // The progress timeout bounds callers that read slowly.
+    SetStreamOptions(&socket_, limits.progress_timeout);
+    SetBufferSizes(&socket_, kReceiveBufferBytes, kSendBufferBytes);
+    connection_memory_.Resize(kConnectionBytes);
+  } else {
+    SetStreamOptions(&socket_);
+  }
   error_code ignored;  // A socket without this mode fails at its first read.
   socket_.non_blocking(true, ignored);
   if (listener_->is_draining_) {
@@ -46,7 +56,7 @@
     if (pending.exchange != exchange) {
       continue;
     }
-    pending.answer = std::make_shared<HttpResponse>(std::move(answer));
+    SetAnswer(&pending, std::move(answer));
     break;
   }
   WriteNextAnswer();
@@ -76,6 +86,10 @@
     }
     return;
   }
+  CheckProgress(now);
+  if (is_closing_) {
+    return;
+  }
   if (is_last_answer_chosen_) {
     return;
   }
@@ -104,7 +118,20 @@
   error_code ignored;  // The connection is discarded in any case.
   socket_.close(ignored);
   ReportDisconnect();
+  body_memory_.Release();
+  connection_memory_.Release();
   listener_->connections_.erase(this);
+  listener_->ResumeAccepting();
+}
+
+MemoryBudget::Reservation HttpListener::Connection::TakeReservation(
+    ExchangeId exchange) {
+  for (PendingExchange& pending : pending_exchanges_) {
+    if (pending.exchange == exchange) {
+      return std::move(pending.request_memory);
+    }
+  }
+  return {};
 }
 
 void HttpListener::Connection::StopReading() {
@@ -122,9 +149,21 @@
   if (buffer_.size() > 0) {
     const auto self = shared_from_this();
     buffer_.consume(Parse(buffer_.cdata()));
+  }
+  ContinueReading();
+}
+
+void HttpListener::Connection::ContinueReading() {
+  if (is_closed_) {
+    return;
+  }
+  if (buffer_.size() == 0) {
     buffer_.shrink_to_fit();
   }
-  if (!is_closed_) {
+  // While reading is paused, the kernel's buffer fills up.
+  connection_memory_.Resize(kConnectionBytes + buffer_.capacity() +
+                            (is_paused_ ? 2 * kReceiveBufferBytes : 0));
+  if (!is_paused_) {
     WaitForData();
   }
 }
@@ -180,13 +219,10 @@
       buffer_.consume(Parse(buffer_.cdata()));
     }
   }
-  if (buffer_.size() == 0) {
-    buffer_.shrink_to_fit();
-  }
   if (error && error != asio::error::would_block) {
     Close();
-  } else if (!is_closed_) {
-    WaitForData();
+  } else {
+    ContinueReading();
   }
 }
 
@@ -194,7 +230,9 @@
   if (parser_) {
     return true;
   }
-  if (pending_exchanges_.size() >= kMaxPipelinedRequests) {
+  const MemoryBudget* budget = listener_->client_limits_.budget;
+  if (pending_exchanges_.size() >= kMaxPipelinedRequests ||
+      (!pending_exchanges_.empty() && budget != nullptr && budget->IsFull())) {
     return false;
   }
   parser_.emplace();
@@ -216,6 +254,10 @@
 }
 
 bool HttpListener::Connection::ParsePart(asio::const_buffer* data) {
+  if (is_head_checked_ &&
+      !ReserveBody(std::min<size_t>(data->size(), kReadPieceBytes))) {
+    return false;
+  }
   std::vector<char>& space = listener_->decode_space_;
   space.resize(kReadPieceBytes);
   http::buffer_body::value_type& decoded = parser_->get().body();
@@ -234,6 +276,8 @@
   const absl::string_view piece(space.data(), space.size() - decoded.size);
   if (parser_->is_header_done() && !is_head_checked_) {
     is_head_checked_ = true;
+    body_start_ = last_body_time_ = progress_time_ = transport::SteadyNow();
+    progress_mark_ = progress_bytes_;
     OnHead(data->size() > 0);
   } else {
     OnBodyPiece(piece);
@@ -290,6 +334,8 @@
 }
 
 void HttpListener::Connection::OnBodyPiece(absl::string_view piece) {
+  progress_bytes_ += piece.size();
+  last_body_time_ = transport::SteadyNow();
   if (!is_discarding_body_) {
     body_.append(piece.data(), piece.size());
     return;
@@ -305,25 +351,6 @@
   StopReading();
 }
 
-void HttpListener::Connection::SendContinue() {
-  if (!pending_exchanges_.empty() || is_writing_) {
-    // The caller sends its body after a while without an interim answer.
-    return;
-  }
-  is_writing_ = true;
-  asio::async_write(socket_,
-                    asio::buffer(internal::kContinueAnswer.data(),
-                                 internal::kContinueAnswer.size()),
-                    [self = shared_from_this()](error_code error, size_t) {
-                      self->is_writing_ = false;
-                      if (error) {
-                        self->Close();
-                      } else {
-                        self->WriteNextAnswer();
-                      }
-                    });
-}
-
 void HttpListener::Connection::OnRequestRead() {
   last_activity_ = transport::SteadyNow();
   if (is_discarding_body_) {
@@ -335,6 +362,8 @@
   parser_.reset();
   PendingExchange pending;
   pending.exchange = ++listener_->last_exchange_id_;
+  pending.request_memory = std::move(body_memory_);
+  CountHead(request, &pending.request_memory);
   if (!request.keep_alive() || is_next_request_last_) {
     is_read_stopped_ = true;
   }
@@ -347,87 +376,14 @@
 void HttpListener::Connection::Reject(http::status status) {
   is_read_stopped_ = true;
   is_last_answer_chosen_ = true;
+  is_paused_ = false;
   body_ = {};
-  QueueAnswer(HttpResponse(status, 11));
-}
-
-void HttpListener::Connection::QueueAnswer(HttpResponse answer) {
-  PendingExchange pending;
-  pending.answer = std::make_shared<HttpResponse>(std::move(answer));
-  pending_exchanges_.push_back(std::move(pending));
-  WriteNextAnswer();
-}
-
-void HttpListener::Connection::WriteNextAnswer() {
-  if (is_writing_ || is_closing_) {
-    return;
-  }
-  if (pending_exchanges_.empty()) {
-    if (is_read_stopped_) {
-      StartClosing();
-    }
-    return;
-  }
-  PendingExchange& pending = pending_exchanges_.front();
-  if (pending.answer == nullptr) {
-    return;
-  }
-  is_writing_ = true;
-  const bool is_last_answer =
-      is_read_stopped_ && pending_exchanges_.size() == 1;
-  is_last_answer_chosen_ = is_last_answer_chosen_ || is_last_answer;
-  pending.answer->version(11);
-  pending.answer->keep_alive(!is_last_answer);
-  http::async_write(
-      socket_, *pending.answer,
-      [self = shared_from_this(), answer = pending.answer](
-          error_code error, size_t) { self->OnAnswerWritten(error); });
-}
-
-void HttpListener::Connection::OnAnswerWritten(error_code error) {
-  is_writing_ = false;
-  if (is_closing_) {
-    return;
+  body_memory_.Release();
+  HttpResponse answer(status, 11);
+  if (status == http::status::service_unavailable) {
+    answer.set(http::field::retry_after, internal::kRetryAfterSeconds);
   }
-  if (error) {
-    Close();
-    return;
-  }
-  last_activity_ = transport::SteadyNow();
-  has_sent_answer_ = true;
-  const bool was_last_answer = !pending_exchanges_.front().answer->keep_alive();
-  listener_->connection_by_exchange_.erase(pending_exchanges_.front().exchange);
-  pending_exchanges_.pop_front();
-  if (was_last_answer) {
-    StartClosing();
-    return;
-  }
-  WriteNextAnswer();
-  ReadRequest();
-}
-
-void HttpListener::Connection::StartClosing() {
-  is_closing_ = true;
-  is_last_answer_chosen_ = true;
-  const absl::Time now = transport::SteadyNow();
-  linger_deadline_ = now + kLingerTime;
-  max_linger_deadline_ = now + kMaxLingerTime;
-  error_code ignored;  // A disconnected caller cannot receive anything.
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  WaitForData();
-}
-
-void HttpListener::Connection::DiscardInput() {
-  std::vector<char>& space = listener_->receive_space_;
-  space.resize(kReadPieceBytes);
-  error_code error;
-  socket_.read_some(asio::buffer(space), error);
-  if (error && error != asio::error::would_block) {
-    Close();
-    return;
-  }
-  linger_deadline_ = transport::SteadyNow() + kLingerTime;
-  WaitForData();
+  QueueAnswer(std::move(answer));
 }
 
 void HttpListener::Connection::ReportDisconnect() {
--- a/packages/edge/src/http_connection.h
+++ b/packages/edge/src/http_connection.h
@@ -5,6 +5,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -30,6 +32,31 @@
   void OnTick(absl::Time now);
   void Close();
 
+  MemoryBudget::Reservation TakeReservation(ExchangeId exchange);
+  /// \returns whether no complete request was received since the last answer.
+  bool IsUnused() const {
+    return pending_exchanges_.empty() && !is_writing_ &&
+           (!parser_ || !parser_->is_header_done());
+  }
+  /// Order in which unused connections are closed: those without a request
+  /// first, then the one whose last activity is longest ago.
+  bool IsLessUsedThan(const Connection& other) const;
+  bool HoldsIncompleteBody() const {
+    return MayRead() && !is_discarding_body_ && is_head_checked_ && parser_ &&
+           parser_->is_header_done();
+  }
+  /// Order in which incomplete requests are refused: those that make no
+  /// progress first, then by size and age, large and new requests first.
+  bool IsShedBefore(const Connection& other, absl::Time now) const;
+  /// Refuses the request that is being read.
+  void Shed(ShedCause cause);
+  void ResumeReading();
+  /// \returns whether an answer is being written that the caller does not read.
+  bool IsAnswerStalled(absl::Time now) const;
+  /// \returns the memory of the answers that are not sent.
+  uint64_t answer_bytes() const;
+  absl::Time pause_start() const { return pause_start_; }
+
  private:
   using Parser = http::request_parser<http::buffer_body>;
   using error_code = boost::system::error_code;
@@ -39,6 +66,8 @@
     /// The write operation shares the answer because the write may outlive this
     /// exchange.
     std::shared_ptr<HttpResponse> answer;
+    MemoryBudget::Reservation request_memory;
+    MemoryBudget::Reservation answer_memory;
   };
 
   bool HasPartialRequest() const { return parser_ && parser_->got_some(); }
@@ -58,6 +87,8 @@
   /// Waits until data is received or the caller disconnects. No memory is held
   /// for receiving meanwhile.
   void WaitForData();
+  /// Waits for more data unless reading is paused.
+  void ContinueReading();
   void OnReadable(error_code error);
   void Receive();
   /// Prepares the parser for the next request.
@@ -70,6 +101,12 @@
   /// \returns false if nothing more can be parsed.
   bool ParsePart(asio::const_buffer* data);
   void OnParseError(error_code error);
+  /// Reserves memory for the next piece of the body.
+  /// \returns false if there is none; reading is paused then.
+  bool ReserveBody(size_t piece);
+  /// \returns whether the caller has closed a connection whose reading is
+  /// paused.
+  bool HasHungUp();
   void OnHead(bool has_more_data);
   void RefuseByHead(HttpResponse answer, bool waits_for_continue);
   void OnBodyPiece(absl::string_view piece);
@@ -77,12 +114,17 @@
   void StopDiscarding();
   void SendContinue();
   void OnRequestRead();
+  void CountHead(const RequestHead& head,
+                 MemoryBudget::Reservation* memory) const;
   /// Queues an answer that the listener itself gives.
   void QueueAnswer(HttpResponse answer);
+  void SetAnswer(PendingExchange* pending, HttpResponse answer);
   /// Sends an error answer to a request that was not read completely, then
   /// closes the connection.
   void Reject(http::status status);
   void WriteNextAnswer();
+  void WriteAnswerPart();
+  void CheckProgress(absl::Time now);
   void OnAnswerWritten(error_code error);
   /// Shuts down the sending side, then waits until the caller closes the
   /// connection.
@@ -97,6 +139,15 @@
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<Parser> parser_;
   std::string body_;
+  MemoryBudget::Reservation body_memory_;
+  MemoryBudget::Reservation connection_memory_;
+  std::shared_ptr<HttpResponse> written_answer_;
+  std::optional<http::response_serializer<http::string_body>> serializer_;
+  absl::Time write_time_;
+  absl::Time body_start_;
+  absl::Time last_body_time_;
+  absl::Time pause_start_ = absl::InfiniteFuture();
+  bool is_paused_ = false;
   uint64_t discarded_body_bytes_ = 0;
   std::deque<PendingExchange> pending_exchanges_;
   bool is_waiting_ = false;
@@ -114,6 +165,11 @@
   bool is_closing_ = false;
   bool is_closed_ = false;
   absl::Time last_activity_;
+  /// Bytes of bodies received and of answers sent.
+  uint64_t progress_bytes_ = 0;
+  /// Value of `progress_bytes_` at `progress_time_`.
+  uint64_t progress_mark_ = 0;
+  absl::Time progress_time_;
   absl::Time header_start_ = absl::InfiniteFuture();
   absl::Time linger_deadline_ = absl::InfiniteFuture();
   absl::Time max_linger_deadline_ = absl::InfiniteFuture();
--- a/packages/edge/src/http_listener.cc
+++ b/packages/edge/src/http_listener.cc
@@ -60,6 +60,11 @@
     auto connection = std::make_shared<Connection>(this, std::move(socket));
     connections_.emplace(connection.get(), connection);
     connection->Start();
+    if (connections_.size() > client_limits_.max_connections &&
+        !CloseUnusedConnection(connection.get())) {
+      is_accept_paused_ = true;
+      return;
+    }
     Accept();
   });
 }
@@ -95,6 +100,103 @@
   }
 }
 
+bool HttpListener::CloseUnusedConnection(const Connection* newest) {
+  std::shared_ptr<Connection> oldest;
+  for (const auto& [key, connection] : connections_) {
+    if (key != newest && connection->IsUnused() &&
+        (oldest == nullptr || connection->IsLessUsedThan(*oldest))) {
+      oldest = connection;
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  CountShed(ShedCause::kConnections);
+  oldest->Close();
+  return true;
+}
+
+void HttpListener::ResumeAccepting() {
+  if (!is_accept_paused_ || !acceptor_.is_open()) {
+    return;
+  }
+  is_accept_paused_ = false;
+  if (connections_.size() > client_limits_.max_connections &&
+      !CloseUnusedConnection(nullptr)) {
+    is_accept_paused_ = true;
+    return;
+  }
+  Accept();
+}
+
+MemoryBudget::Reservation HttpListener::TakeReservation(ExchangeId exchange) {
+  const auto entry = connection_by_exchange_.find(exchange);
+  return entry == connection_by_exchange_.end()
+             ? MemoryBudget::Reservation()
+             : entry->second->TakeReservation(exchange);
+}
+
+std::shared_ptr<HttpListener::Connection> HttpListener::ChooseVictim(
+    absl::Time now) const {
+  std::shared_ptr<Connection> victim;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->HoldsIncompleteBody() &&
+        (victim == nullptr || connection->IsShedBefore(*victim, now))) {
+      victim = connection;
+    }
+  }
+  return victim;
+}
+
+std::shared_ptr<HttpListener::Connection> HttpListener::ChooseSlowReader(
+    absl::Time now) const {
+  std::shared_ptr<Connection> slowest;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->IsAnswerStalled(now) &&
+        (slowest == nullptr ||
+         connection->answer_bytes() > slowest->answer_bytes())) {
+      slowest = connection;
+    }
+  }
+  return slowest;
+}
+
+bool HttpListener::ShedOne(absl::Time now) {
+  if (client_limits_.budget->IsExceeded()) {
+    if (const auto slow_reader = ChooseSlowReader(now)) {
+      CountShed(ShedCause::kSlowReader);
+      slow_reader->Close();
+      return true;
+    }
+  }
+  const std::shared_ptr<Connection> victim = ChooseVictim(now);
+  if (victim == nullptr) {
+    return false;
+  }
+  victim->Shed(ShedCause::kMemory);
+  return true;
+}
+
+void HttpListener::RelieveMemory(absl::Time now) {
+  if (client_limits_.budget == nullptr) {
+    return;
+  }
+  for (int i = 0; i <= kMaxShedRequests; ++i) {
+    for (const auto& connection : std::exchange(paused_connections_, {})) {
+      connection->ResumeReading();
+    }
+    const bool is_pause_too_long =
+        !paused_connections_.empty() &&
+        now - paused_connections_.front()->pause_start() >= kMaxReadPause;
+    if (!is_pause_too_long && !client_limits_.budget->IsExceeded()) {
+      return;
+    }
+    if (!ShedOne(now)) {
+      return;
+    }
+  }
+}
+
 std::vector<std::shared_ptr<HttpListener::Connection>>
 HttpListener::CopyConnections() const {
   std::vector<std::shared_ptr<Connection>> copy;
@@ -108,6 +210,7 @@
   for (const auto& connection : CopyConnections()) {
     connection->OnTick(now);
   }
+  ResumeAccepting();
 }
 
 }  // namespace baobabwall::edge
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_SRC_HTTP_LISTENER_H_
 #define EDGE_SRC_HTTP_LISTENER_H_
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -13,6 +14,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "edge/src/http_message.h"
+#include "edge/src/memory_budget.h"
 
 namespace baobabwall::edge {
 
@@ -67,6 +69,41 @@
         on_request_head = nullptr;
   };
 
+  /// Bounds for clients that the operators do not control.
+  struct ClientLimits {
+    /// Bounds the bodies and answers of all connections; nullptr: no bound.
+    /// Must outlive the listener.
+    MemoryBudget* budget = nullptr;
+    /// Time in which a body that is being received, or an answer that is being
+    /// sent, must progress.
+    absl::Duration progress_timeout = absl::InfiniteDuration();
+    size_t max_connections = SIZE_MAX;
+  };
+
+  /// Reasons to end a request or a connection before its answer.
+  enum class ShedCause {
+    kMemory,       ///< No memory for the body of the request.
+    kSlowBody,     ///< The body made no progress.
+    kSlowReader,   ///< The caller does not read the answer.
+    kConnections,  ///< Too many connections.
+  };
+  static constexpr size_t kShedCauseCount = 4;
+
+  /// Bodies up to this size use the part of the budget for small requests.
+  static constexpr size_t kSmallBodyBytes = 64 * 1024;
+  /// Memory that is counted for each connection.
+  static constexpr uint64_t kConnectionBytes = 4 * 1024;
+  /// Time for which reading pauses without memory before a request is refused.
+  static constexpr absl::Duration kMaxReadPause = absl::Milliseconds(500);
+  /// Minimum size of the progress within the progress timeout.
+  static constexpr uint64_t kMinProgressBytes = 4 * 1024;
+  /// Sizes of the socket buffers while the memory is limited. Twice the sizes
+  /// are enough for 10 Mbit/s at a round trip time of 70 ms (88 KB).
+  static constexpr int kReceiveBufferBytes = 64 * 1024;
+  static constexpr int kSendBufferBytes = 64 * 1024;
+  /// Maximum number of requests that one call of RelieveMemory() refuses.
+  static constexpr int kMaxShedRequests = 16;
+
   HttpListener(asio::io_context* io, Hooks hooks);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
@@ -77,6 +114,14 @@
 
   void SetLimits(const gateway::RequestLimits& limits) { limits_ = limits; }
 
+  /// Must be called before Open().
+  void SetClientLimits(const ClientLimits& limits) { client_limits_ = limits; }
+
+  /// \returns the memory that is reserved for the request, which the caller of
+  /// this function has to keep as long as the request. Otherwise the memory is
+  /// returned when the exchange ends.
+  MemoryBudget::Reservation TakeReservation(ExchangeId exchange);
+
   /// \brief Sends the answer of an exchange. Does nothing if the caller has
   /// disconnected.
   void Answer(ExchangeId exchange, HttpResponse answer);
@@ -98,12 +143,37 @@
   /// requests whose header exceeds the header timeout.
   void OnTick(absl::Time now);
 
+  /// \brief Continues reading that was paused without memory, or refuses
+  /// incomplete requests if there is still none.
+  void RelieveMemory(absl::Time now);
+
+  /// \returns how many requests and connections were ended for the cause.
+  uint64_t shed_count(ShedCause cause) const {
+    return shed_counts_[static_cast<size_t>(cause)];
+  }
+  size_t paused_connection_count() const { return paused_connections_.size(); }
   size_t connection_count() const { return connections_.size(); }
 
  private:
   class Connection;
 
   void Accept();
+  /// \brief Closes a connection without a request that is being answered:
+  /// first one without a request, then one within a head.
+  /// \param newest connection that is not closed.
+  /// \returns false if there is none.
+  bool CloseUnusedConnection(const Connection* newest);
+  void ResumeAccepting();
+  void CountShed(ShedCause cause) {
+    ++shed_counts_[static_cast<size_t>(cause)];
+  }
+  /// \returns the incomplete request to refuse first; nullptr if there is none.
+  std::shared_ptr<Connection> ChooseVictim(absl::Time now) const;
+  /// \returns the connection with the largest answers that its caller does not
+  /// read; nullptr if there is none.
+  std::shared_ptr<Connection> ChooseSlowReader(absl::Time now) const;
+  /// \returns false if nothing can be ended.
+  bool ShedOne(absl::Time now);
   /// \returns a copy of the connections, because handling one connection may
   /// remove others.
   std::vector<std::shared_ptr<Connection>> CopyConnections() const;
@@ -112,6 +182,11 @@
   tcp::acceptor acceptor_;
   asio::steady_timer accept_retry_timer_;
   gateway::RequestLimits limits_;
+  ClientLimits client_limits_;
+  std::array<uint64_t, kShedCauseCount> shed_counts_ = {};
+  /// Connections whose reading is paused, in the order of their pauses.
+  std::vector<std::shared_ptr<Connection>> paused_connections_;
+  bool is_accept_paused_ = false;
   bool is_draining_ = false;
   ExchangeId last_exchange_id_ = 0;
   std::map<Connection*, std::shared_ptr<Connection>> connections_;
--- a/packages/edge/src/socket_options.cc
+++ b/packages/edge/src/socket_options.cc
@@ -15,10 +15,6 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbeCount = 2;
 
-/// A connection is closed if its sent bytes are not acknowledged within this
-/// time.
-constexpr int kUserTimeoutMs = 3000;
-
 void SetOption(tcp::socket* socket, int level, int name, int value) {
   if (setsockopt(socket->native_handle(), level, name, &value, sizeof(value)) !=
       0) {
@@ -29,7 +25,7 @@
 
 }  // namespace internal
 
-void SetStreamOptions(tcp::socket* socket) {
+void SetStreamOptions(tcp::socket* socket, absl::Duration user_timeout) {
   using internal::SetOption;
   SetOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
@@ -37,7 +33,13 @@
   SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL,
             internal::kKeepAliveIntervalSeconds);
   SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, internal::kKeepAliveProbeCount);
-  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, internal::kUserTimeoutMs);
+  SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(absl::ToInt64Milliseconds(user_timeout)));
+}
+
+void SetBufferSizes(tcp::socket* socket, int receive_bytes, int send_bytes) {
+  internal::SetOption(socket, SOL_SOCKET, SO_RCVBUF, receive_bytes);
+  internal::SetOption(socket, SOL_SOCKET, SO_SNDBUF, send_bytes);
 }
 
 }  // namespace baobabwall::edge
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -1,5 +1,7 @@
 #include "edge/src/traffic_loop.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -23,6 +25,30 @@
   return is_unknown ? base::Outcome::kUnknown : base::Outcome::kRun;
 }
 
+/// Size from which an allocation is returned to the system when it is freed.
+constexpr int kAllocatorThreshold = 256 * 1024;
+
+uint64_t BudgetBytes(int64_t memory_mb) {
+  const uint64_t bytes = static_cast<uint64_t>(memory_mb) * 1024 * 1024;
+  // Small limits, as in tests, leave a quarter for requests and answers.
+  return std::max(bytes / 4,
+                  bytes - std::min(bytes, TrafficLoop::kProcessBytes));
+}
+
+/// A request with the memory that is reserved for it.
+struct HeldRequest {
+  HttpRequest request;
+  MemoryBudget::Reservation memory;
+};
+
+std::shared_ptr<const HttpRequest> HoldRequest(
+    HttpRequest request,
+    MemoryBudget::Reservation memory) {
+  auto held = std::make_shared<HeldRequest>(
+      HeldRequest{std::move(request), std::move(memory)});
+  return {held, &held->request};
+}
+
 }  // namespace internal
 
 TrafficLoop::TrafficLoop(const settings::GatewaySettings& settings,
@@ -36,6 +62,7 @@
       self_(std::move(self)),
       metrics_(metrics),
       hooks_(std::move(hooks)),
+      memory_budget_(internal::BudgetBytes(settings.memory_mb)),
       io_(1),
       zones_(settings.zone_regions, settings.zone),
       steering_(
@@ -112,6 +139,7 @@
       {settings.retry_ratio, settings.retry_extra, settings.retry_window});
   steering_.quotas().SetBound(
       {settings.quota_window, settings.quota_overshoot, settings.quota_slack});
+  SetClientLimits();
   AddMetrics();
 }
 
@@ -208,11 +236,13 @@
 
 void TrafficLoop::OnRequest(ExchangeId exchange, HttpRequest request) {
   const absl::Time now = transport::SteadyNow();
+  std::shared_ptr<const HttpRequest> held = internal::HoldRequest(
+      std::move(request), caller_listener_.TakeReservation(exchange));
   if (view_ == nullptr && now - start_time_ < kMaxStartupWait) {
-    queued_requests_.emplace(exchange, QueuedRequest{std::move(request), now});
+    queued_requests_.emplace(exchange, QueuedRequest{std::move(held), now});
     return;
   }
-  DispatchRequest(exchange, std::move(request), now);
+  DispatchRequest(exchange, std::move(held), now);
 }
 
 void TrafficLoop::DispatchQueuedRequests() {
@@ -236,9 +266,9 @@
 }
 
 void TrafficLoop::DispatchRequest(ExchangeId exchange,
-                                  HttpRequest request,
+                                  std::shared_ptr<const HttpRequest> request,
                                   absl::Time arrival) {
-  gateway::CallerRequest caller_request = dialect_->read_request(request);
+  gateway::CallerRequest caller_request = dialect_->read_request(*request);
   if (is_rejecting_requests_) {
     caller_listener_.Answer(
         exchange,
@@ -251,7 +281,7 @@
   PendingRequest pending;
   pending.exchange = exchange;
   pending.caller_id = caller_request.caller_id;
-  pending.request = std::make_shared<const HttpRequest>(std::move(request));
+  pending.request = std::move(request);
   const absl::Time now = transport::SteadyNow();
   if (!steering_.IsActive(now)) {
     UpdatePeerLoads(now);
@@ -402,6 +432,7 @@
     DispatchQueuedRequests();
   }
   PerformActions(steering_.OnTick(now), nullptr);
+  caller_listener_.RelieveMemory(now);
   if (now - last_peer_tick_ >= kPeerTickInterval) {
     TickPeers(now);
   }
@@ -487,6 +518,27 @@
                                  &lookup_listener_, &metrics_listener_}) {
     listener->OnTick(now);
   }
+  LogShedRequests();
+}
+
+void TrafficLoop::SetClientLimits() {
+  HttpListener::ClientLimits limits;
+  if (settings_.memory_mb > 0) {
+    limits.budget = &memory_budget_;
+    // The allocator otherwise raises these thresholds to the size of freed
+    // bodies and keeps that much memory.
+    mallopt(M_MMAP_THRESHOLD, internal::kAllocatorThreshold);
+    mallopt(M_TRIM_THRESHOLD, internal::kAllocatorThreshold);
+    backend_client_.SetBudget(&memory_budget_);
+    limits.progress_timeout = settings_.progress_timeout;
+  }
+  if (settings_.max_fds > 0) {
+    const int64_t descriptors = std::max(
+        settings_.max_fds / 4, settings_.max_fds - kPlatformDescriptors);
+    limits.max_connections = static_cast<size_t>(
+        static_cast<double>(descriptors) * kCallerDescriptorFraction);
+  }
+  caller_listener_.SetClientLimits(limits);
 }
 
 void TrafficLoop::LogPeerChanges(
@@ -539,51 +591,4 @@
   hooks_.on_shutdown_complete();
 }
 
-void TrafficLoop::AddMetrics() {
-  const auto add = [&](const char* name, const char* help, bool is_counter,
-                       std::function<double()> read_value) {
-    metrics_->AddReader(name, help, {}, is_counter, std::move(read_value));
-  };
-  add("baobabwall_in_flight", "Requests whose answer is not sent", false,
-      [this] { return static_cast<double>(steering_.in_flight()); });
-  add("baobabwall_caller_connections", "Open connections of callers", false,
-      [this] {
-        return static_cast<double>(caller_listener_.connection_count());
-      });
-  add("baobabwall_backend_connections_idle",
-      "Kept connections to backend servers", false, [this] {
-        return static_cast<double>(backend_client_.idle_connection_count());
-      });
-  add("baobabwall_backend_connections_opened_total",
-      "Connections opened to backend servers", true, [this] {
-        return static_cast<double>(backend_client_.opened_connection_count());
-      });
-  add("baobabwall_instances", "Other instances in use", false, [this] {
-    return static_cast<double>(peers_.Live(transport::SteadyNow()).size());
-  });
-  add("baobabwall_least_own_region_share",
-      "Smallest part of a service's requests that is to run in the own region",
-      false, [this] { return steering_.balancer().LeastOwnShare(); });
-  metrics_->AddReader(
-      kSuppressedLinesMetric, kSuppressedLinesHelp, {{"by", "requests"}}, true,
-      [this] { return static_cast<double>(request_log_.suppressed_total()); });
-  add("baobabwall_config_version", "Configuration in force", false, [this] {
-    return steering_.config() == nullptr
-               ? 0.0
-               : static_cast<double>(steering_.config()->version());
-  });
-  add("baobabwall_backend_servers_leaving",
-      "Backend servers that have announced that they leave", false, [this] {
-        return static_cast<double>(steering_.balancer().leaving_server_count());
-      });
-  add("baobabwall_backend_servers_pausing",
-      "Backend servers that asked for a pause", false, [this] {
-        return static_cast<double>(
-            steering_.balancer().pausing_server_count(transport::SteadyNow()));
-      });
-  add("baobabwall_backend_servers", "Backend servers known", false, [this] {
-    return static_cast<double>(steering_.balancer().server_count());
-  });
-}
-
 }  // namespace baobabwall::edge
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -1,6 +1,7 @@
 #ifndef EDGE_SRC_TRAFFIC_LOOP_H_
 #define EDGE_SRC_TRAFFIC_LOOP_H_
 
+#include <array>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -56,6 +57,15 @@
   /// one instance, they know no other instance until then.
   static constexpr double kMinServeFraction = kAcceptingPhaseFraction;
 
+  /// Memory of a process without requests, and of the shared state and other
+  /// connections; the rest of the memory limit is for requests and answers.
+  static constexpr uint64_t kProcessBytes = 32 * 1024 * 1024;
+  /// File descriptors that the platform does not leave for sockets.
+  static constexpr int64_t kPlatformDescriptors = 200;
+  /// Fraction of the other file descriptors that callers may use. The rest is
+  /// for servers, store, peers, lookups, readiness checks, metrics and files.
+  static constexpr double kCallerDescriptorFraction = 0.5;
+
   struct Hooks {
     std::function<void(uint64_t fingerprint)> on_crashing_request;
     std::function<void()> on_shutdown_complete;
@@ -98,7 +108,7 @@
   void OnAttemptEnd(const gateway::AttemptEnd& end,
                     std::optional<HttpResponse> answer);
   void DispatchRequest(ExchangeId exchange,
-                       HttpRequest request,
+                       std::shared_ptr<const HttpRequest> request,
                        absl::Time arrival);
   /// Dispatches the requests that were queued until the first read of the
   /// shared state.
@@ -130,10 +140,13 @@
   static void LogPeerChanges(
       absl::Span<const gateway::PeerTable::Change> changes);
   void LogShareChanges();
+  void SetClientLimits();
+  void LogShedRequests();
   void AddMetrics();
+  void AddClientMetrics();
 
   struct QueuedRequest {
-    HttpRequest request;
+    std::shared_ptr<const HttpRequest> request;
     absl::Time arrival;
   };
 
@@ -142,6 +155,8 @@
   gateway::InstanceRecord self_;
   transport::Metrics* metrics_;
   Hooks hooks_;
+  /// Outlives the event loop, whose handlers hold reservations.
+  MemoryBudget memory_budget_;
   asio::io_context io_;
   gateway::ZoneMap zones_;
   gateway::Steering steering_;
@@ -164,6 +179,8 @@
   uint64_t heartbeat_sequence_ = 0;
   absl::Time last_tick_ = absl::InfinitePast();
   absl::Time last_peer_tick_ = absl::InfinitePast();
+  /// Counts of HttpListener::ShedCause at the last log line.
+  std::array<uint64_t, HttpListener::kShedCauseCount> logged_shed_counts_ = {};
   absl::Time last_maintenance_ = absl::InfinitePast();
   absl::Time shutdown_start_ = absl::InfiniteFuture();
   bool was_ready_ = false;  ///< At the last UpdateLiveInstances().
--- a/packages/settings/src/gateway_settings.h
+++ b/packages/settings/src/gateway_settings.h
@@ -39,6 +39,15 @@
   double quota_overshoot = 0.1;
   double quota_slack = 20;
 
+  /// Memory that the instance may use, in MiB. 0: only the bounds of single
+  /// requests and answers apply.
+  int64_t memory_mb = 0;
+  /// Number of file descriptors that the process may have open. 0: no bound.
+  int64_t max_fds = 0;
+  /// Time in which a body that is being received, or an answer that is being
+  /// sent, must progress. Only with `memory_mb`.
+  absl::Duration progress_timeout = absl::Seconds(10);
+
   /// Time from the stop signal until the platform kills the process.
   absl::Duration shutdown_grace = absl::Seconds(6);
   /// Time for which callers may cache the response to a lookup.
