Bound the descriptors that pipelined requests use

With max_fds = 256, a process had 317 descriptors open when 32 clients pipelined 16 requests each, because each request needs a connection to a backend server.

If a fifth of max_fds are in flight, a connection may have only one request in flight; the others are read after its answer.

--- a/packages/edge/src/http_connection.cc
+++ b/packages/edge/src/http_connection.cc
@@ -230,9 +230,13 @@
   if (parser_) {
     return true;
   }
-  const MemoryBudget* budget = listener_->client_limits_.budget;
+  const ClientLimits& limits = listener_->client_limits_;
+  const bool is_pipelining_limited =
+      (limits.budget != nullptr && limits.budget->IsFull()) ||
+      listener_->connection_by_exchange_.size() >=
+          limits.max_pipelined_requests;
   if (pending_exchanges_.size() >= kMaxPipelinedRequests ||
-      (!pending_exchanges_.empty() && budget != nullptr && budget->IsFull())) {
+      (!pending_exchanges_.empty() && is_pipelining_limited)) {
     return false;
   }
   parser_.emplace();
--- a/packages/edge/src/http_listener.h
+++ b/packages/edge/src/http_listener.h
@@ -78,6 +78,9 @@
     /// sent, must progress.
     absl::Duration progress_timeout = absl::InfiniteDuration();
     size_t max_connections = SIZE_MAX;
+    /// Number of requests in flight from which a connection may have only one,
+    /// because each of them needs a connection to a backend server.
+    size_t max_pipelined_requests = SIZE_MAX;
   };
 
   /// Reasons to end a request or a connection before its answer.
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -537,6 +537,8 @@
         settings_.max_fds / 4, settings_.max_fds - kPlatformDescriptors);
     limits.max_connections = static_cast<size_t>(
         static_cast<double>(descriptors) * kCallerDescriptorFraction);
+    limits.max_pipelined_requests = static_cast<size_t>(
+        static_cast<double>(settings_.max_fds) * kPipelinedDescriptorFraction);
   }
   caller_listener_.SetClientLimits(limits);
 }
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -66,6 +66,10 @@
   /// for servers, store, peers, lookups, readiness checks, metrics and files.
   static constexpr double kCallerDescriptorFraction = 0.5;
 
+  /// Fraction of the file descriptors that pipelined requests may use for
+  /// connections to backend servers. As many may stay open while they are idle.
+  static constexpr double kPipelinedDescriptorFraction = 0.2;
+
   struct Hooks {
     std::function<void(uint64_t fingerprint)> on_crashing_request;
     std::function<void()> on_shutdown_complete;
