--- a/packages/gateway/src/account_quotas.cc
+++ b/packages/gateway/src/account_quotas.cc
@@ -166,7 +166,7 @@
   decision.retry_after = RetryAfter(&state, now);
   for (const auto& [name, peer] : peers_) {
     const absl::Duration age = now - peer.last_received_at;
-    if (age < kMaxReportAge) {
+    if (age < Scaled(kMaxSilence)) {
       decision.report_age = std::max(decision.report_age, age);
     }
   }
@@ -226,7 +226,8 @@
   for (auto& [name, peer] : peers_) {
     const auto report = peer.reports.find(key);
     if (report == peer.reports.end() ||
-        now - report->second.received_at > kMaxReportAge) {
+        now - peer.last_received_at > Scaled(kMaxSilence) ||
+        now - report->second.received_at > Scaled(kMaxReportAge)) {
       continue;
     }
     const double capacity = Capacity(account->quota, peer.is_holder);
@@ -239,7 +240,8 @@
   for (size_t i = 1; i < holdings.size(); ++i) {
     const auto& [peer, report] = receivers[i];
     const double tokens = plan.Grant(0, i, &random_);
-    if (tokens <= 0 || peer->grants.size() >= QuotaMessage::kMaxEntries) {
+    if (tokens <= 0 || tokens > account->bucket.tokens() ||
+        peer->grants.size() >= QuotaMessage::kMaxEntries) {
       continue;
     }
     if (rules_.remove_given_tokens) {
@@ -297,7 +299,7 @@
   }
   const std::vector<AccountReport> reports = TakeReports(now);
   for (auto& [name, peer] : peers_) {
-    const bool is_heard = now - peer.last_received_at < kMaxReportAge;
+    const bool is_heard = now - peer.last_received_at < Scaled(kMaxReportAge);
     const bool is_due = !reports.empty() || !peer.grants.empty() ||
                         now - peer.last_sent_at >= Scaled(kReportInterval);
     if ((!peer.is_holder && !is_heard) || !is_due) {
--- a/packages/gateway/src/account_quotas.h
+++ b/packages/gateway/src/account_quotas.h
@@ -65,10 +65,13 @@
   /// instance receives per second is bounded.
   static constexpr absl::Duration kReportInterval = absl::Milliseconds(400);
   static constexpr size_t kMaxHoldersAtMinInterval = 20;
+  /// An instance that has sent nothing for this time gets no tokens: three
+  /// messages in a row were lost, or it does not run.
+  static constexpr absl::Duration kMaxSilence = absl::Milliseconds(1400);
   /// A report that has not been repeated for this time is not used.
-  static constexpr absl::Duration kMaxReportAge = absl::Seconds(3);
+  static constexpr absl::Duration kMaxReportAge = absl::Seconds(9);
   /// Interval at which unchanged reports are repeated.
-  static constexpr absl::Duration kRepeatInterval = absl::Seconds(1);
+  static constexpr absl::Duration kRepeatInterval = absl::Seconds(3);
   /// Time for which a report is extrapolated at most.
   static constexpr absl::Duration kMaxExtrapolation = absl::Milliseconds(400);
   /// Standard deviations by which the rate is lower in that extrapolation.
