--- a/packages/gateway/src/account_quotas.cc
+++ b/packages/gateway/src/account_quotas.cc
@@ -179,7 +179,7 @@
   decision.retry_after = RetryAfter(&state, now);
   for (const auto& [name, peer] : peers_) {
     const absl::Duration age = now - peer.last_received_at;
-    if (age < kMaxReportAge) {
+    if (age < Scaled(kMaxSilence)) {
       decision.report_age = std::max(decision.report_age, age);
     }
   }
@@ -215,6 +215,21 @@
   }
 }
 
+double AccountQuotas::ExpectedTokens(const ReceivedReport& report,
+                                     const AccountQuota& quota,
+                                     absl::Time now) const {
+  const double accrual_per_s =
+      quota.rate_per_s /
+      static_cast<double>(std::max<size_t>(1, holders_.size()));
+  // A few requests in a second are no sign of more.
+  const double certain_per_s =
+      report.rate_per_s - kRateDeviations * std::sqrt(report.rate_per_s);
+  const double used_per_s = std::max(0.0, certain_per_s - accrual_per_s);
+  const absl::Duration age =
+      std::min(now - report.received_at, Scaled(kMaxExtrapolation));
+  return std::max(0.0, report.tokens - used_per_s * absl::ToDoubleSeconds(age));
+}
+
 void AccountQuotas::PlanGrants(uint32_t key, Account* account, absl::Time now) {
   UpdateBucket(account, now);
   std::vector<TokenHolding> holdings = {
@@ -224,19 +239,22 @@
   for (auto& [name, peer] : peers_) {
     const auto report = peer.reports.find(key);
     if (report == peer.reports.end() ||
-        now - report->second.received_at > kMaxReportAge) {
+        now - peer.last_received_at > Scaled(kMaxSilence) ||
+        now - report->second.received_at > Scaled(kMaxReportAge)) {
       continue;
     }
-    holdings.push_back({report->second.rate_per_s, report->second.tokens,
-                        Capacity(account->quota, peer.is_holder),
-                        peer.is_holder});
+    const double capacity = Capacity(account->quota, peer.is_holder);
+    holdings.push_back({report->second.rate_per_s,
+                        ExpectedTokens(report->second, account->quota, now),
+                        capacity, peer.is_holder});
     receivers.emplace_back(&peer, &report->second);
   }
   const TokenPlan plan(holdings);
   for (size_t i = 1; i < holdings.size(); ++i) {
     const auto& [peer, report] = receivers[i];
     const double tokens = plan.Grant(0, i, &random_);
-    if (tokens <= 0 || peer->grants.size() >= QuotaMessage::kMaxEntries) {
+    if (tokens <= 0 || tokens > account->bucket.tokens() ||
+        peer->grants.size() >= QuotaMessage::kMaxEntries) {
       continue;
     }
     if (rules_.remove_given_tokens) {
@@ -296,7 +314,7 @@
   }
   const std::vector<AccountReport> reports = TakeReports(now);
   for (auto& [name, peer] : peers_) {
-    const bool is_heard = now - peer.last_received_at < kMaxReportAge;
+    const bool is_heard = now - peer.last_received_at < Scaled(kMaxReportAge);
     const bool is_due = !reports.empty() || !peer.grants.empty() ||
                         now - peer.last_sent_at >= Scaled(kReportInterval);
     if ((!peer.is_holder && !is_heard) || !is_due) {
--- a/packages/gateway/src/account_quotas.h
+++ b/packages/gateway/src/account_quotas.h
@@ -66,10 +66,17 @@
   /// instance receives per second is bounded.
   static constexpr absl::Duration kReportInterval = absl::Milliseconds(400);
   static constexpr size_t kMaxHoldersAtMinInterval = 20;
+  /// An instance that has sent nothing for this time gets no tokens: three
+  /// messages in a row were lost, or it does not run.
+  static constexpr absl::Duration kMaxSilence = absl::Milliseconds(1400);
   /// A report that has not been repeated for this time is not used.
-  static constexpr absl::Duration kMaxReportAge = absl::Seconds(3);
+  static constexpr absl::Duration kMaxReportAge = absl::Seconds(9);
   /// Interval at which unchanged reports are repeated.
-  static constexpr absl::Duration kRepeatInterval = absl::Seconds(1);
+  static constexpr absl::Duration kRepeatInterval = absl::Seconds(3);
+  /// Time for which a report is extrapolated at most.
+  static constexpr absl::Duration kMaxExtrapolation = absl::Milliseconds(400);
+  /// Standard deviations by which the rate is lower in that extrapolation.
+  static constexpr double kRateDeviations = 2;
   /// Change of the tokens, relative to the capacity, and of the rate that is
   /// reported.
   static constexpr double kReportedTokenChange = 0.2;
@@ -197,6 +204,11 @@
   double Capacity(const AccountQuota& quota, bool is_holder) const;
   void UpdateBucket(Account* account, absl::Time now);
   absl::Duration RetryAfter(Account* account, absl::Time now);
+  /// \returns the tokens of the sender of a report after the requests that have
+  /// probably arrived there since.
+  double ExpectedTokens(const ReceivedReport& report,
+                        const AccountQuota& quota,
+                        absl::Time now) const;
   /// \brief Moves surplus tokens of the account to the grants of the peers.
   void PlanGrants(uint32_t key, Account* account, absl::Time now);
   /// \returns the reports that have changed or must be repeated.
