Record requests that are refused by their head; ignore trailers in pieces

Cause: the merge of the head check and of the accounts left two gaps: a request that is refused by its head had no log line and no metric, and the reader of requests in pieces took fields of a trailer for fields of the head.

--- a/packages/edge/src/http_connection.cc
+++ b/packages/edge/src/http_connection.cc
@@ -307,6 +307,11 @@
 
 void HttpListener::Connection::OnHead(bool has_more_data) {
   const RequestHead& head = parser_->get().base();
+  if (parser_->chunked()) {
+    // Beast adds the fields of a trailer to those of the head. They must not
+    // replace or repeat credentials that the head has shown.
+    chunked_head_ = head;
+  }
   const bool waits_for_continue =
       internal::ExpectsContinue(head) && !parser_->is_done() && !has_more_data;
   std::optional<HttpResponse> refusal;
@@ -361,7 +366,8 @@
     parser_.reset();
     return;
   }
-  HttpRequest request(std::move(parser_->release().base()));
+  HttpRequest request(chunked_head_ ? *std::exchange(chunked_head_, {})
+                                    : std::move(parser_->release().base()));
   request.body() = std::exchange(body_, {});
   parser_.reset();
   PendingExchange pending;
--- a/packages/edge/src/http_connection.h
+++ b/packages/edge/src/http_connection.h
@@ -138,6 +138,8 @@
   /// cannot be parsed in parts, for example an extension of a chunk.
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
   std::optional<Parser> parser_;
+  /// Head of the chunked request that is being read, without the trailer.
+  std::optional<RequestHead> chunked_head_;
   std::string body_;
   MemoryBudget::Reservation body_memory_;
   MemoryBudget::Reservation connection_memory_;
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -238,6 +238,7 @@
   if (!refuse) {
     return std::nullopt;
   }
+  steering_.RecordHeadRefusal(request, *refuse, transport::SteadyNow());
   return dialect_->refusal(refuse->status, refuse->retry_after,
                            request.caller_id);
 }
