--- a/test/account_quotas_load_test.cc
+++ b/test/account_quotas_load_test.cc
@@ -30,7 +30,8 @@
 /// \brief The load of 83 accounts in a fleet with 12 holders.
 class LoadedFleet {
  public:
-  explicit LoadedFleet(uint64_t seed) : world_(OptionsOf(seed)) {
+  explicit LoadedFleet(uint64_t seed, const QuotaRules& rules = {})
+      : world_(OptionsOf(seed, rules)) {
     for (size_t i = 0; i < kInstances; ++i) {
       // Two instances of each zone are large, so that they are the holders.
       const double cpu_share = i < 2 * kZones ? 2 : 0.25;
@@ -118,9 +119,10 @@
   }
 
  private:
-  static QuotaWorld::Options OptionsOf(uint64_t seed) {
+  static QuotaWorld::Options OptionsOf(uint64_t seed, const QuotaRules& rules) {
     QuotaWorld::Options options;
     options.seed = seed;
+    options.rules = rules;
     options.loss = 0.002;
     return options;
   }
@@ -248,6 +250,19 @@
   CHECK(fleet.world().violation() == "");
 }
 
+// Guards against a pattern that does not detect the missing rule.
+TEST_CASE("the partition detects departed holders that do not count") {
+  QuotaRules rules;
+  rules.count_departed_holders = false;
+  LoadedFleet fleet(5, rules);
+  fleet.world().Cut([](size_t i) { return i % kZones < 2; }, true);
+  for (size_t account = 0; account < kAccounts; ++account) {
+    fleet.SetFactor(account, 3);
+  }
+  fleet.Run(absl::Seconds(60));
+  CHECK_FALSE(fleet.world().violation().empty());
+}
+
 // Guards against a restart that leaves the fleet without tokens.
 TEST_CASE("a holder that is killed and back after 3 s") {
   LoadedFleet fleet(6);
