--- a/packages/edge/src/http_connection.cc
+++ b/packages/edge/src/http_connection.cc
@@ -239,6 +239,7 @@
       (!pending_exchanges_.empty() && is_pipelining_limited)) {
     return false;
   }
+  chunked_head_.reset();
   parser_.emplace();
   parser_->header_limit(listener_->limits_.header_bytes);
   parser_->body_limit(listener_->limits_.body_bytes);
--- a/test/steering_accounts_test.cc
+++ b/test/steering_accounts_test.cc
@@ -26,6 +26,7 @@
                   {},
                   {},
                   {},
+                  {},
                   {}}) {
     RoutingConfig::Builder builder;
     builder.Version(4).AddService({"s", "/health", 330, absl::Seconds(3), 8});
