--- a/test/account_quotas_oracle_test.cc
+++ b/test/account_quotas_oracle_test.cc
@@ -16,12 +16,12 @@
 /// or as many as QUOTA_ORACLE_RUNS tells.
 int RunCount() {
 #ifdef __SANITIZE_ADDRESS__
-  constexpr int kDefaultRuns = 2;
+  constexpr int default_runs = 2;
 #else
-  constexpr int kDefaultRuns = 12;
+  constexpr int default_runs = 12;
 #endif
   const char* runs = std::getenv("QUOTA_ORACLE_RUNS");
-  return runs == nullptr ? kDefaultRuns : std::atoi(runs);
+  return runs == nullptr ? default_runs : std::atoi(runs);
 }
 
 size_t RandomInstance(QuotaWorld* world) {
--- a/test/memory_budget_test.cc
+++ b/test/memory_budget_test.cc
@@ -79,6 +79,8 @@
       const uint64_t replaced = sut.slots[other].bytes();
       sut.slots[other] = std::move(reservation);
       RC_ASSERT(sut.slots[other].bytes() == before);
+      // The case checks that a moved reservation holds nothing.
+      // NOLINTNEXTLINE(bugprone-use-after-move)
       RC_ASSERT(reservation.bytes() == 0U);
       RC_ASSERT(sut.total() == total - replaced);
     } else if (kind == 4) {
