--- a/review/stand-ins-2/hang_case.h
+++ b/review/stand-ins-2/hang_case.h
@@ -1,5 +1,5 @@
-// Runs a gateway whose connections a crowd holds, while ordinary clients book on
-// new connections and the platform asks whether the process is ready.
+// Runs a gateway whose connections a crowd holds, while ordinary clients book
+// on new connections and the platform asks whether the process is ready.
 #ifndef REVIEW_STAND_INS_2_HANG_CASE_H_
 #define REVIEW_STAND_INS_2_HANG_CASE_H_
 
@@ -13,7 +13,7 @@
 constexpr int kContactMs = 4000;
 constexpr int kClients = 8;
 constexpr int kDeadlineMs = 3000;  ///< Of slot-book.
-constexpr int kWorkMs = 640;  ///< Of slot-book.
+constexpr int kWorkMs = 640;       ///< Of slot-book.
 constexpr int kMaxFds = 4100;
 /// Descriptors of this process beside the crowd's.
 constexpr int kOwnFds = 1500;
@@ -34,6 +34,7 @@
   int64_t end = 0;
   int client = 0;
   int status = 0;
+  bool is_closed = false;  ///< By the gateway, without an answer.
 };
 
 inline int RunHangCaseOnce(const HangCase& options) {
@@ -125,11 +126,22 @@
         const ClientResult result =
             CallOnce(gateway.callers(), "POST", "/book/" + id, id, kDeadlineMs,
                      std::string(4000, 'b'));
-        const Try entry = {result.sent_ms, result.ended_ms, i,
-                           result.answer.status};
+        Try entry;
+        entry.begin = result.sent_ms;
+        entry.end = result.ended_ms;
+        entry.client = i;
+        entry.status = result.answer.status;
+        entry.is_closed =
+            entry.status == 0 && result.read != ReadResult::kTimeout;
+        const std::string outcome =
+            entry.status != 0 ? std::to_string(entry.status)
+            : entry.is_closed ? "closed without an answer"
+                              : "no answer by its deadline";
         record.Line("booking %s on a new connection: %s", id.c_str(),
-                    entry.status == 0 ? "no answer by its deadline"
-                                      : std::to_string(entry.status).c_str());
+                    outcome.c_str());
+        if (entry.is_closed) {
+          SleepMs(100);
+        }
         std::lock_guard<std::mutex> lock(mutex);
         tries.push_back(entry);
       }
@@ -148,22 +160,22 @@
     record.Line("the process has ended, status %d", status);
     return 1;
   }
-  // The longest span between two answers.
-  std::vector<int64_t> answered = {begin};
+  // The spans between two connections that were taken. One that was closed
+  // without an answer counts as taken.
+  std::vector<int64_t> taken = {begin};
   int unanswered = 0;
   for (const Try& entry : tries) {
-    if (entry.status != 0) {
-      answered.push_back(entry.end);
-    } else {
-      ++unanswered;
+    if (entry.status != 0 || entry.is_closed) {
+      taken.push_back(entry.end);
     }
+    unanswered += entry.status == 0 ? 1 : 0;
   }
-  answered.push_back(begin + options.test_ms);
-  std::sort(answered.begin(), answered.end());
+  taken.push_back(begin + options.test_ms);
+  std::sort(taken.begin(), taken.end());
   bool is_broken = false;
-  for (size_t i = 1; i < answered.size(); ++i) {
-    const int64_t from = answered[i - 1];
-    const int64_t to = answered[i];
+  for (size_t i = 1; i < taken.size(); ++i) {
+    const int64_t from = taken[i - 1];
+    const int64_t to = taken[i];
     if (to - from <= kContactMs) {
       continue;
     }
@@ -180,9 +192,10 @@
         ++(check == 200 ? ready : not_ready);
       }
     }
-    record.Line("no connection taken for %ld ms, while %zu clients tried and "
-                "the process said %d times that it is ready, %d times not",
-                static_cast<long>(to - from), tried.size(), ready, not_ready);
+    record.Line(
+        "no connection taken for %ld ms, while %zu clients tried and "
+        "the process said %d times that it is ready, %d times not",
+        static_cast<long>(to - from), tried.size(), ready, not_ready);
     is_broken = is_broken || (tried.size() >= 7 && ready > 0 && not_ready == 0);
   }
   record.Line("bookings %zu, of these unanswered %d", tries.size(), unanswered);
--- a/review/stand-ins-2/memory_case.h
+++ b/review/stand-ins-2/memory_case.h
@@ -70,11 +70,11 @@
       SleepMs(is_booking ? kWorkMs : options_.pack_work_ms);
       --self->running();
       const std::string& body = is_booking ? std::string("done") : pack;
-      return SendAll(fd, AnswerHead(self, request, 200,
-                                    "Content-Length: " +
-                                        std::to_string(body.size()) +
-                                        "\r\n\r\n") +
-                             body);
+      return SendAll(
+          fd, AnswerHead(self, request, 200,
+                         "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n") +
+                  body);
     };
     for (int i = 0; i < 16; ++i) {
       const std::string zone = i % 2 == 0 ? "a-1" : "a-2";
@@ -85,8 +85,7 @@
       Machine& machine = machines_[i];
       machine.gateway = std::make_unique<Gateway>(
           folder_.path(),
-          GatewaySettings{"gw-" + std::to_string(i),
-                          i == 0 ? "a-1" : "a-2",
+          GatewaySettings{"gw-" + std::to_string(i), i == 0 ? "a-1" : "a-2",
                           "[limits]\nmemory_mb = " + std::to_string(kMemoryMb) +
                               "\nmax_fds = " + std::to_string(kMaxFds) + "\n"},
           store->port());
@@ -145,8 +144,8 @@
   int Lost() const { return machines_[0].lost + machines_[1].lost; }
 
   int Report() {
-    const bool is_fault = machines_[0].ends >= kFaultEnds &&
-                          machines_[1].ends >= kFaultEnds;
+    const bool is_fault =
+        machines_[0].ends >= kFaultEnds && machines_[1].ends >= kFaultEnds;
     for (Machine& machine : machines_) {
       record_.Line("%s: most resident %ld KiB (limit %d KiB), ended %d times",
                    machine.gateway->name().c_str(),
@@ -160,8 +159,7 @@
         machines_[0].answered + machines_[1].answered, Lost(), kMaxLost);
     record_.Line("processes ended three times on both machines: %s (Fault)",
                  is_fault ? "yes" : "no");
-    record_.Line("result: %s",
-                 Lost() > kMaxLost ? "rule broken" : "rule held");
+    record_.Line("result: %s", Lost() > kMaxLost ? "rule broken" : "rule held");
     return Lost() > kMaxLost ? 1 : 0;
   }
 
@@ -174,11 +172,11 @@
       const bool is_running = machine->gateway->IsRunning(&status);
       if (resident > kMemoryMb * 1024 || !is_running) {
         machine->is_up = false;
-        record_.Line("%s: %s, resident %ld KiB, limit %d KiB",
-                     machine->gateway->name().c_str(),
-                     is_running ? "memory over the limit, killed"
-                                : "ended by itself",
-                     static_cast<long>(resident), kMemoryMb * 1024);
+        record_.Line(
+            "%s: %s, resident %ld KiB, limit %d KiB",
+            machine->gateway->name().c_str(),
+            is_running ? "memory over the limit, killed" : "ended by itself",
+            static_cast<long>(resident), kMemoryMb * 1024);
         machine->gateway->Kill();
         ++machine->ends;
         SleepMs(kRestartMs);
@@ -218,9 +216,10 @@
           const bool is_closed = result != ReadResult::kTimeout;
           if (is_closed && answers > 0 && HasRun(id)) {
             ++machine->lost;
-            record_.Line("booking %s was run, its connection was closed "
-                         "without an answer",
-                         id.c_str());
+            record_.Line(
+                "booking %s was run, its connection was closed "
+                "without an answer",
+                id.c_str());
           }
           break;
         }
@@ -303,12 +302,12 @@
       const size_t left = body_bytes - 1 - client.sent;
       const bool has_head = !client.head.empty();
       const ssize_t count =
-          has_head ? send(client.fd, client.head.data(), client.head.size(),
-                          MSG_NOSIGNAL)
-                   : (left == 0 ? 0
-                                : send(client.fd, piece.data(),
-                                       std::min(left, piece.size()),
-                                       MSG_NOSIGNAL));
+          has_head
+              ? send(client.fd, client.head.data(), client.head.size(),
+                     MSG_NOSIGNAL)
+              : (left == 0 ? 0
+                           : send(client.fd, piece.data(),
+                                  std::min(left, piece.size()), MSG_NOSIGNAL));
       if (count > 0) {
         is_idle = false;
         if (has_head) {
