--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -93,7 +93,8 @@
   bool is_draining = false;
   bool is_full = false;
   bool announces_leaving = false;
-  std::string retry_after;  ///< Of refusals; empty for none.
+  std::string retry_after;    ///< Of refusals; empty for none.
+  std::string request_limit;  ///< Of all answers; empty for none.
   int arrivals = 0;
   int dropped_answer_period = 0;
   int runs = 0;
@@ -367,6 +368,9 @@
   if (backend->announces_leaving) {
     answer.set("Server-Leaving", "1");
   }
+  if (!backend->request_limit.empty()) {
+    answer.set("Server-Limit", backend->request_limit);
+  }
   if (request["X-Expect-Instance"] != backend->id) {
     answer.result(421);
     answer.prepare_payload();
@@ -460,6 +464,11 @@
   RunOnLoop([&] { backends_.at(id)->announces_leaving = true; });
 }
 
+void PlatformStandin::SetRequestLimit(const std::string& id,
+                                      const std::string& limit) {
+  RunOnLoop([&] { backends_.at(id)->request_limit = limit; });
+}
+
 std::map<std::string, ExecutedRequest> PlatformStandin::executed_requests()
     const {
   std::map<std::string, ExecutedRequest> copy;
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -101,6 +101,11 @@
   /// entry in the store stays as it is.
   void AnnounceLeaving(const std::string& id);
 
+  /// \brief Sets the Server-Limit header of all later answers of a backend
+  /// server: the requests per second that it takes from all instances
+  /// together. Empty for none.
+  void SetRequestLimit(const std::string& id, const std::string& limit);
+
   /// \returns the executions by request id, summed over all backend servers.
   std::map<std::string, ExecutedRequest> executed_requests() const;
   /// \returns all arrivals in the order of their time.
