Quotas: the choice of the holders is a class of its own

Cause: the instances among which a rate is divided, and for how long they count after they have disappeared, were part of AccountQuotas; a limit that a backend server names is divided in the same way. Change: HolderSet; no change of behaviour. Result: account_quotas_oracle_test and account_quotas_load_test pass as before.

--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/src/directory.h"
 #include "gateway/src/gateway_control.h"
 #include "gateway/src/heartbeat.h"
+#include "gateway/src/holder_set.h"
 #include "gateway/src/http_status.h"
 #include "gateway/src/instance_record.h"
 #include "gateway/src/lookup_cache.h"
--- a/packages/gateway/src/account_quotas.cc
+++ b/packages/gateway/src/account_quotas.cc
@@ -3,31 +3,11 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <set>
 #include <utility>
 
-#include "gateway/src/directory.h"
-
 namespace baobabwall::gateway {
 namespace internal {
 
-/// \returns the names of the instances that the directory would return to the
-/// callers of any zone if all instances were live.
-std::set<std::string> HolderNames(absl::Span<const InstanceRecord> instances) {
-  std::set<std::pair<std::string, std::string>> zones;
-  for (const InstanceRecord& instance : instances) {
-    zones.emplace(instance.zone, instance.region);
-  }
-  std::set<std::string> names;
-  for (const auto& [zone, region] : zones) {
-    for (const InstanceRecord* instance :
-         Directory::Choose({zone, region}, instances)) {
-      names.insert(instance->name);
-    }
-  }
-  return names;
-}
-
 bool IsRelativeChange(double from, double to, double ratio) {
   return std::abs(to - from) > ratio * std::max(from, to);
 }
@@ -65,23 +45,12 @@
 void AccountQuotas::SetInstances(std::vector<InstanceRecord> instances,
                                  bool was_announced,
                                  absl::Time now) {
-  for (const InstanceRecord& instance : instances) {
-    known_instances_[instance.name] = {instance, absl::InfiniteFuture()};
-  }
-  std::set<std::string> announced;
-  for (const InstanceRecord& instance : instances) {
-    announced.insert(instance.name);
-  }
-  for (auto& [name, known] : known_instances_) {
-    // Tokens may still accrue in an instance that has disappeared.
-    if (announced.count(name) == 0 && known.until == absl::InfiniteFuture()) {
-      known.until =
-          rules_.count_departed_holders ? now + kDepartedHolderTime : now;
-    }
-  }
-  const bool was_holder = IsHolder(self_);
-  UpdateHolders(now);
-  if (!was_holder && IsHolder(self_)) {
+  const bool was_holder = is_holder();
+  holders_.SetInstances(instances,
+                        rules_.count_departed_holders ? HolderSet::kDepartedTime
+                                                      : absl::ZeroDuration(),
+                        now);
+  if (!was_holder && is_holder()) {
     accrues_from_ = was_announced || !rules_.delay_new_holders
                         ? now
                         : now + kNewHolderDelay;
@@ -101,27 +70,14 @@
       peer.incarnation = instance.incarnation;
     }
     peer.endpoint = {instance.callers.address, instance.peer_port};
-    peer.is_holder = IsHolder(instance.name);
   }
   peers_ = std::move(peers);
+  UpdatePeerHolders();
 }
 
-void AccountQuotas::UpdateHolders(absl::Time now) {
-  std::vector<InstanceRecord> instances;
-  next_expiry_ = absl::InfiniteFuture();
-  for (auto known = known_instances_.begin();
-       known != known_instances_.end();) {
-    if (now >= known->second.until) {
-      known = known_instances_.erase(known);
-      continue;
-    }
-    next_expiry_ = std::min(next_expiry_, known->second.until);
-    instances.push_back(known->second.record);
-    ++known;
-  }
-  holders_ = internal::HolderNames(instances);
+void AccountQuotas::UpdatePeerHolders() {
   for (auto& [name, peer] : peers_) {
-    peer.is_holder = IsHolder(name);
+    peer.is_holder = holders_.Contains(name);
   }
 }
 
@@ -132,7 +88,7 @@
 }
 
 double AccountQuotas::BaseShare(absl::Time now) const {
-  if (!IsHolder(self_) || now < accrues_from_) {
+  if (!is_holder() || now < accrues_from_) {
     return 0;
   }
   return 1 / static_cast<double>(holders_.size());
@@ -155,7 +111,7 @@
   const AccountQuota& quota = account->quota;
   account->bucket.Update(quota.rate_per_s * BaseShare(now),
                          rules_.bound_tokens
-                             ? Capacity(quota, IsHolder(self_))
+                             ? Capacity(quota, is_holder())
                              : std::numeric_limits<double>::max(),
                          now);
 }
@@ -234,7 +190,7 @@
   UpdateBucket(account, now);
   std::vector<TokenHolding> holdings = {
       {account->arrivals.RatePerS(now), account->bucket.tokens(),
-       account->bucket.capacity(), IsHolder(self_)}};
+       account->bucket.capacity(), is_holder()}};
   std::vector<std::pair<Peer*, ReceivedReport*>> receivers = {{}};
   for (auto& [name, peer] : peers_) {
     const auto report = peer.reports.find(key);
@@ -267,7 +223,7 @@
 }
 
 bool AccountQuotas::TakesPart(absl::Time now) {
-  return IsHolder(self_) ||
+  return is_holder() ||
          std::any_of(accounts_.begin(), accounts_.end(), [now](auto& entry) {
            return entry.second.arrivals.RatePerS(now) > 0;
          });
@@ -303,8 +259,8 @@
     return messages;
   }
   planned_at_ = now;
-  if (now >= next_expiry_) {
-    UpdateHolders(now);
+  if (holders_.OnTick(now)) {
+    UpdatePeerHolders();
   }
   if (!TakesPart(now)) {
     return messages;
--- a/packages/gateway/src/account_quotas.h
+++ b/packages/gateway/src/account_quotas.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "base/base.h"
 #include "gateway/src/arrival_rate.h"
 #include "gateway/src/client_account.h"
+#include "gateway/src/holder_set.h"
 #include "gateway/src/instance_record.h"
 #include "gateway/src/quota_message.h"
 #include "gateway/src/token_bucket.h"
@@ -45,15 +45,14 @@
 /// \brief Enforces the quotas of all client accounts at one instance, together
 /// with the other instances.
 ///
-/// The instances that the directory names are holders. In each of H holders,
-/// 1/H of an account's rate accrues as tokens. A request takes a token.
-/// Instances report their tokens and their demand to each other, and give
-/// tokens away where others need them more. A token that is lost with a message
-/// or a process is not replaced, and an instance holds a bounded number of
-/// tokens. The requests that run in a window are therefore at most what accrues
-/// in the window plus the tokens that all instances can hold, whatever happens
-/// to messages, processes and clocks, without a central allocator and without a
-/// store call for a request.
+/// In each of H holders (HolderSet), 1/H of an account's rate accrues as
+/// tokens. A request takes a token. Instances report their tokens and their
+/// demand to each other, and give tokens away where others need them more. A
+/// token that is lost with a message or a process is not replaced, and an
+/// instance holds a bounded number of tokens. The requests that run in a window
+/// are therefore at most what accrues in the window plus the tokens that all
+/// instances can hold, whatever happens to messages, processes and clocks,
+/// without a central allocator and without a store call for a request.
 ///
 /// Uses neither I/O nor a clock; times are those of a clock that continues
 /// while the machine is suspended. Not thread-safe.
@@ -84,13 +83,6 @@
   /// Time for which no tokens accrue in a new holder, because the others may
   /// not know yet that there is one more holder.
   static constexpr absl::Duration kNewHolderDelay = absl::Seconds(2);
-  /// Time for which a holder counts after its record has disappeared. The
-  /// record of an instance that is cut off from the store and from the others
-  /// expires, but its part of the rate still accrues there. The bound can be
-  /// exceeded by a partition that lasts longer than this time and the lease of
-  /// the record together. Until then, the part of a holder that has ended is
-  /// unused.
-  static constexpr absl::Duration kDepartedHolderTime = absl::Seconds(90);
   /// Part of the requests that may run beyond the rate, which all holders
   /// together can hold as tokens. The rest covers short differences between the
   /// instances' views of the holders, and tokens of other instances.
@@ -152,7 +144,7 @@
   bool is_in_use() const { return !accounts_.empty(); }
   size_t holder_count() const { return holders_.size(); }
   /// \returns whether tokens accrue at this instance.
-  bool is_holder() const { return IsHolder(self_); }
+  bool is_holder() const { return holders_.Contains(self_); }
 
   /// \returns the key that identifies an account in messages.
   static uint32_t AccountKey(absl::string_view name) {
@@ -186,17 +178,6 @@
     std::vector<TokenGrant> grants;  ///< To be sent with the next message.
   };
 
-  /// An instance that counts for the choice of the holders. It counts for a
-  /// time after it has disappeared, so that the holders do not change if an
-  /// instance restarts: all instances would accrue a smaller part of the rate.
-  struct KnownInstance {
-    InstanceRecord record;
-    absl::Time until;
-  };
-
-  bool IsHolder(const std::string& instance) const {
-    return holders_.count(instance) > 0;
-  }
   /// \returns an interval that is longer in a fleet with many holders.
   absl::Duration Scaled(absl::Duration interval) const;
   /// \returns the fraction of the rate that accrues here.
@@ -213,8 +194,7 @@
   void PlanGrants(uint32_t key, Account* account, absl::Time now);
   /// \returns the reports that have changed or must be repeated.
   std::vector<AccountReport> TakeReports(absl::Time now);
-  /// \brief Determines the holders among the instances that count.
-  void UpdateHolders(absl::Time now);
+  void UpdatePeerHolders();
   /// \returns whether this instance holds or uses tokens.
   bool TakesPart(absl::Time now);
 
@@ -225,10 +205,10 @@
   QuotaRules rules_;
   absl::flat_hash_map<uint32_t, Account> accounts_;  ///< By AccountKey().
   std::map<std::string, Peer, std::less<>> peers_;   ///< By name.
-  /// Announced instances, and those that have disappeared recently.
-  std::map<std::string, KnownInstance> known_instances_;
-  absl::Time next_expiry_ = absl::InfiniteFuture();  ///< Of a known instance.
-  std::set<std::string> holders_;  ///< Instances in which tokens accrue.
+  /// Instances in which tokens accrue. The bound can be exceeded by a partition
+  /// that lasts longer than HolderSet::kDepartedTime and the lease of the
+  /// records together.
+  HolderSet holders_;
   absl::Time accrues_from_ = absl::InfiniteFuture();
   absl::Time planned_at_ = absl::InfinitePast();
   uint64_t sequence_ = 0;
