A server's request limit is divided among the instances

Callers saw nothing; the server got about twice its limit. Change: each instance that the directory names gets a part of the limit as tokens (ServerLimits); what all together can hold is bounded, so the bound holds whenever each learns of the limit, without store calls. Limits and their ends travel in heartbeats. Fewer objects prefer a limited server, and the region plan counts what its limit allows.

--- a/packages/ctl/src/trace.cc
+++ b/packages/ctl/src/trace.cc
@@ -32,6 +32,9 @@
      "each backend server is draining, paused, cold, or in an evacuated zone"},
     {"pause-requested",
      "each usable backend server had asked to get no requests for a time"},
+    {"server-limit",
+     "this instance's part of the request limit of a backend server was used "
+     "up"},
     {"no-server", "no backend server of the service is registered"},
     {"no-configuration",
      "the instance had not read the configuration: see `store: read`"},
--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -271,6 +271,7 @@
     attempt_end_.cold_left = decoded.cold_left;
     attempt_end_.is_server_leaving = decoded.is_leaving;
     attempt_end_.requested_pause = decoded.requested_pause;
+    attempt_end_.limit = decoded.limit;
     if (decoded.keep_alive) {
       connection_->max_idle_time = *decoded.keep_alive * kKeepAliveFraction;
     }
@@ -297,15 +298,19 @@
            std::move(answer));
   }
 
-  /// A server that breaks off may have announced in the header that it leaves.
+  /// A server that breaks off may have announced in the header that it leaves,
+  /// or named a limit.
   void RecordNoticeOfPartialAnswer() {
     if (!pending_read_->parser->is_header_done()) {
       return;
     }
     const BackendAnswer decoded =
         client_->dialect_->read_answer(pending_read_->parser->get());
-    attempt_end_.is_server_leaving =
-        decoded.request_id == request_id_ && decoded.is_leaving;
+    if (decoded.request_id != request_id_) {
+      return;
+    }
+    attempt_end_.is_server_leaving = decoded.is_leaving;
+    attempt_end_.limit = decoded.limit;
   }
 
   void Finish(AttemptResult result,
--- a/packages/edge/src/dialect.h
+++ b/packages/edge/src/dialect.h
@@ -25,6 +25,7 @@
   bool is_leaving = false;  ///< The server shuts down soon.
   /// Time for which the server wants no requests.
   std::optional<absl::Duration> requested_pause;
+  gateway::LimitReport limit;
   /// Time for which the server keeps an idle connection open.
   std::optional<absl::Duration> keep_alive;
 };
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -93,6 +93,19 @@
                        << " incarnation=" << server.incarnation
                        << " ms=" << absl::ToInt64Milliseconds(pause);
            },
+           [](const gateway::BackendServer& server,
+              std::optional<double> per_s) {
+             if (per_s) {
+               LOG(INFO) << "backend: limit named server=" << server.id
+                         << " service=" << server.service
+                         << " incarnation=" << server.incarnation
+                         << " per_s=" << *per_s;
+               return;
+             }
+             LOG(INFO) << "backend: limit ended server=" << server.id
+                       << " service=" << server.service
+                       << " incarnation=" << server.incarnation;
+           },
            [](const gateway::BackendServer& server) {
              LOG(WARNING) << "backend: malformed load server=" << server.id
                           << " service=" << server.service
@@ -135,7 +148,7 @@
       peer_channel_(
           &io_,
           [this](const gateway::Heartbeat& heartbeat) {
-            peers_.OnHeartbeat(heartbeat, transport::SteadyNow());
+            OnHeartbeat(heartbeat);
           },
           [this](const gateway::QuotaMessage& message) {
             steering_.quotas().OnMessage(message, transport::SteadyNow());
@@ -421,7 +434,9 @@
   }
   lookup_cache_.SetLive(std::move(accepting));
   live.push_back(self_);
-  steering_.SetInstances(std::move(live), peers_.size() + 1);
+  std::vector<gateway::InstanceRecord> announced = peers_.Announced();
+  announced.push_back(self_);
+  steering_.SetInstances(std::move(live), announced, now);
 }
 
 void TrafficLoop::DetectPause(absl::Time now) {
@@ -479,6 +494,9 @@
     heartbeat.demand.emplace_back(gateway::Balancer::HeartbeatKey(service),
                                   static_cast<int>(slots * 1000));
   }
+  gateway::ServerLimits& limits = steering_.balancer().server_limits();
+  limits.OnTick(now);
+  heartbeat.server_limits = limits.TakeNotices(now);
   peer_channel_.Send(heartbeat, peers_.DueHeartbeats(heartbeat, now));
   peer_channel_.Send(steering_.quotas().DueMessages(now));
   if (heartbeat.is_active) {
@@ -491,6 +509,14 @@
   }
 }
 
+void TrafficLoop::OnHeartbeat(const gateway::Heartbeat& heartbeat) {
+  const absl::Time now = transport::SteadyNow();
+  if (peers_.OnHeartbeat(heartbeat, now)) {
+    steering_.balancer().server_limits().OnNotices(heartbeat.server_limits,
+                                                   now);
+  }
+}
+
 void TrafficLoop::UpdatePeerLoads(absl::Time now) {
   steering_.balancer().SetPeerLoads(peers_.Loads(now));
 }
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -142,6 +142,7 @@
   /// Updates the instances that share the quotas of the client accounts.
   void UpdateQuotaInstances(absl::Time now);
   void UpdatePlans(absl::Time now);
+  void OnHeartbeat(const gateway::Heartbeat& heartbeat);
   static void LogPeerChanges(
       absl::Span<const gateway::PeerTable::Change> changes);
   void LogShareChanges();
--- a/packages/edge/src/traffic_metrics.cc
+++ b/packages/edge/src/traffic_metrics.cc
@@ -75,6 +75,11 @@
         return static_cast<double>(
             steering_.balancer().pausing_server_count(transport::SteadyNow()));
       });
+  add("baobabwall_backend_servers_limited",
+      "Backend servers that have named a request limit", false, [this] {
+        return static_cast<double>(
+            steering_.balancer().server_limits().count());
+      });
   add("baobabwall_backend_servers", "Backend servers known", false, [this] {
     return static_cast<double>(steering_.balancer().server_count());
   });
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "gateway/src/retry_allowance.h"
 #include "gateway/src/revision_lag.h"
 #include "gateway/src/routing_config.h"
+#include "gateway/src/server_limits.h"
 #include "gateway/src/server_load.h"
 #include "gateway/src/state_change.h"
 #include "gateway/src/state_mirror.h"
--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -11,10 +11,20 @@
 namespace baobabwall::gateway {
 namespace internal {
 
+/// \param object_share number of objects that prefer the server, relative to
+/// other servers.
 /// \returns the rank of a server for an object. The server with the highest
 /// rank is the preferred server of the object.
-uint64_t RendezvousRank(uint64_t object, absl::string_view id) {
-  return base::StableHash(id, object);
+uint64_t RendezvousRank(uint64_t object,
+                        absl::string_view id,
+                        double object_share) {
+  const uint64_t rank = base::StableHash(id, object);
+  if (object_share >= 1) {
+    return rank;
+  }
+  const double unit = static_cast<double>(rank) * 0x1.0p-64;
+  return static_cast<uint64_t>(std::pow(unit, 1 / object_share) *
+                               0x1.fffffffffffffp63);
 }
 
 /// \returns whether both describe the same incarnation at the same endpoint.
@@ -301,8 +311,8 @@
         server.load->IsCold(context->now)) {
       continue;
     }
-    const uint64_t rank =
-        internal::RendezvousRank(query.object, server.description->id);
+    const uint64_t rank = internal::RendezvousRank(
+        query.object, server.description->id, ObjectShare(*context, server));
     in_all_regions.Add(server.load.get(), rank);
     if (server.zone->region == home) {
       in_home_region.Add(server.load.get(), rank);
@@ -312,6 +322,21 @@
   in_all_regions.AppendTo(&context->ranked);
 }
 
+double Balancer::ObjectShare(const PlacementContext& context,
+                             const Server& server) const {
+  const std::optional<double> per_s = server_limits_.RatePerS(*server.load);
+  const auto load = service_loads_.find(context.query.service);
+  if (!per_s || load == service_loads_.end()) {
+    return 1;
+  }
+  const double others_slots =
+      server.description->slots * load->second.utilisation;
+  const double share = *per_s * context.warm_work_s / others_slots;
+  return std::clamp(
+      std::round(share / kObjectShareQuantum) * kObjectShareQuantum,
+      kObjectShareQuantum, 1.0);
+}
+
 Balancer::PlacementContext Balancer::MakeContext(
     const PlacementQuery& query,
     absl::Span<const Server> servers,
@@ -335,6 +360,9 @@
   const absl::Span<const Server> servers = service_servers->second;
   last_request_by_priority_[std::string(query.service)][query.priority] = now;
   const PlacementContext context = MakeContext(query, servers, now);
+  double& mean_work_s = service_loads_[query.service].mean_work_s;
+  mean_work_s += (context.warm_work_s - mean_work_s) *
+                 (mean_work_s > 0 ? kMeanWorkWeight : 1);
   const Server* chosen = nullptr;
   Candidate best;
   absl::string_view refusal = "no-usable-server";
@@ -348,6 +376,10 @@
       refusal = "full";
       continue;
     }
+    if (!server_limits_.HasToken(*server.load, server.zone->region, now)) {
+      refusal = "server-limit";
+      continue;
+    }
     if (chosen == nullptr || candidate.cost_s < best.cost_s) {
       chosen = &server;
       best = candidate;
@@ -385,6 +417,8 @@
 bool Balancer::RecordStart(const PlacementQuery& query,
                            ServerLoad* server,
                            absl::Time now) {
+  server->OnRequestStart(now);
+  server_limits_.OnRequestStart(*server, now);
   if (!query.has_affinity) {
     return false;
   }
@@ -430,6 +464,14 @@
   }
 }
 
+double Balancer::UsableSlots(const Server& server,
+                             const ServiceLoad& load,
+                             absl::Time now) const {
+  const double slots = server.description->slots / server.load->Slowness(now);
+  const std::optional<double> per_s = server_limits_.RatePerS(*server.load);
+  return per_s ? std::min(slots, *per_s * load.mean_work_s) : slots;
+}
+
 void Balancer::UpdatePlans(
     const std::map<std::string, absl::flat_hash_map<uint32_t, double>>& demand,
     absl::Time now) {
@@ -438,16 +480,30 @@
     for (const auto& [region, cpu_share] : cpu_share_by_region_) {
       loads[region].cpu_share = cpu_share;
     }
+    double unlimited_demand = 0;
     for (const auto& [region, by_hash] : demand) {
       const auto found = by_hash.find(HeartbeatKey(service));
       loads[region].demand = found == by_hash.end() ? 0 : found->second;
+      unlimited_demand += loads[region].demand;
     }
+    ServiceLoad& service_load = service_loads_[service];
+    double unlimited_slots = 0;
     for (const Server& server : servers) {
-      if (IsAvailable(server, now)) {
-        loads[server.zone->region].capacity +=
-            server.description->slots / server.load->Slowness(now);
+      if (!IsAvailable(server, now)) {
+        continue;
+      }
+      const double slots = UsableSlots(server, service_load, now);
+      loads[server.zone->region].capacity += slots;
+      if (server_limits_.RatePerS(*server.load)) {
+        unlimited_demand -= slots;
+      } else {
+        unlimited_slots += slots;
       }
     }
+    service_load.utilisation =
+        unlimited_slots <= 0 ? 1
+                             : std::clamp(unlimited_demand / unlimited_slots,
+                                          kMinUtilisation, 1.0);
     plans_.try_emplace(service, zones_->own_region())
         .first->second.Update(loads, now);
   }
--- a/packages/gateway/src/balancer.h
+++ b/packages/gateway/src/balancer.h
@@ -17,6 +17,7 @@
 #include "gateway/src/instance_record.h"
 #include "gateway/src/region_plan.h"
 #include "gateway/src/routing_config.h"
+#include "gateway/src/server_limits.h"
 #include "gateway/src/server_load.h"
 #include "gateway/src/work_times.h"
 #include "gateway/src/zone_map.h"
@@ -74,6 +75,14 @@
   /// is full. With the same alternates at all instances, an object is cached by
   /// few servers.
   static constexpr size_t kRankedServers = 2;
+  /// A server that has named a request limit is the preferred server of fewer
+  /// objects: as many as its limit suffices for, in multiples of this part of
+  /// the objects of other servers, so that small changes move no objects.
+  static constexpr double kObjectShareQuantum = 1.0 / 8;
+  /// Weight of a request in the mean work time of a service.
+  static constexpr double kMeanWorkWeight = 0.05;
+  /// Minimum utilisation that is assumed of servers without a limit.
+  static constexpr double kMinUtilisation = 0.1;
   /// Additional cost of a server that is not among the ranked servers of an
   /// object, as a fraction of the work time of an uncached object.
   static constexpr double kUnrankedServerCostRatio = 0.3;
@@ -115,8 +124,13 @@
   /// retained. Above it, all of these notices are dropped.
   static constexpr size_t kMaxRetainedNotices = 4096;
 
-  explicit Balancer(ZoneMap* zones, std::string self)
-      : zones_(zones), self_(std::move(self)) {}
+  /// \param on_limit_changed see ServerLimits.
+  explicit Balancer(ZoneMap* zones,
+                    std::string self,
+                    ServerLimits::ChangeHook on_limit_changed = {})
+      : zones_(zones),
+        self_(std::move(self)),
+        server_limits_(self_, std::move(on_limit_changed)) {}
 
   void SetConfig(std::shared_ptr<const RoutingConfig> config);
   void SetBackends(const BackendSet& set);
@@ -128,9 +142,9 @@
   /// \brief Records that the request is sent to the server, which caches its
   /// object from the start of the work.
   /// \returns whether the object was already known to be cached.
-  static bool RecordStart(const PlacementQuery& query,
-                          ServerLoad* server,
-                          absl::Time now);
+  bool RecordStart(const PlacementQuery& query,
+                   ServerLoad* server,
+                   absl::Time now);
   /// \brief Records that the server did not run the request, whose object was
   /// not known to be cached before.
   static void RecordNotRun(const PlacementQuery& query, ServerLoad* server);
@@ -188,6 +202,8 @@
   /// region, for the service with the smallest such share.
   double LeastOwnShare() const;
 
+  ServerLimits& server_limits() { return server_limits_; }
+
   size_t server_count() const { return servers_.size(); }
   /// \returns the number of servers that have announced that they leave.
   size_t leaving_server_count() const;
@@ -229,6 +245,12 @@
     bool is_likely_cached = false;
   };
 
+  struct ServiceLoad {
+    double mean_work_s = 0;  ///< Mean warm work time of the requests.
+    /// Part of the slots of servers without a limit that the demand uses.
+    double utilisation = 1;
+  };
+
   /// A notice of a server whose entry is not in the store.
   struct RetainedNotice {
     std::shared_ptr<const BackendServer> server;
@@ -268,6 +290,14 @@
                                      const Server& server);
   void RankServers(absl::Span<const Server> servers,
                    PlacementContext* context) const;
+  /// \returns the number of objects that prefer the server, relative to a
+  /// server without a limit.
+  double ObjectShare(const PlacementContext& context,
+                     const Server& server) const;
+  /// \returns the slots of the server that requests can use.
+  double UsableSlots(const Server& server,
+                     const ServiceLoad& load,
+                     absl::Time now) const;
 
   ZoneMap* zones_;
   std::string self_;
@@ -284,10 +314,12 @@
   /// instances, servers or the configuration change.
   absl::flat_hash_map<uint32_t, int64_t> cold_request_rates_;
   absl::flat_hash_map<std::string, RegionPlan> plans_;  ///< By service.
+  absl::flat_hash_map<std::string, ServiceLoad> service_loads_;
   /// Time of the last request by service and priority.
   absl::flat_hash_map<std::string, std::map<int, absl::Time>>
       last_request_by_priority_;
   WorkTimes work_times_;
+  ServerLimits server_limits_;
 };
 
 }  // namespace baobabwall::gateway
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "absl/types/span.h"
 
 namespace baobabwall::gateway {
@@ -24,6 +25,15 @@
   }
 };
 
+/// \brief What an instance knows of the request limit of a backend server.
+struct ServerLimitNotice {
+  uint32_t server = 0;  ///< ServerLoad::limit_key() of the server.
+  /// Requests per second that the server takes from all instances together;
+  /// nullopt if it no longer names a limit.
+  std::optional<double> per_s;
+  absl::Duration age;  ///< Time since the server's answer that said so.
+};
+
 /// \brief The state that an instance sends to the other instances several times
 /// per second, in one datagram.
 struct Heartbeat {
@@ -47,10 +57,14 @@
   /// Region plans of the instance for the callers of its region.
   std::vector<PlannedShare> planned_shares;
 
+  /// Limits of backend servers, and limits that have ended recently.
+  std::vector<ServerLimitNotice> server_limits;
+
   /// Maximum numbers of entries that are sent, which limit the size of a
   /// datagram to kMaxEncodedBytes.
   static constexpr size_t kMaxLoads = 120;
   static constexpr size_t kMaxPlannedShares = 60;
+  static constexpr size_t kMaxServerLimits = 45;
   static constexpr size_t kMaxEncodedBytes = 4096;
 
   /// Whether `loads` and `planned_shares` are part of the message. Most
--- a/packages/gateway/src/server_load.h
+++ b/packages/gateway/src/server_load.h
@@ -27,6 +27,15 @@
   bool is_partly_malformed = false;
 };
 
+/// \brief What the head of an answer says about the request limit of its
+/// server.
+struct LimitReport {
+  bool is_known = false;  ///< Whether the head was received and is readable.
+  /// Requests per second that the server takes from all instances together;
+  /// nullopt if the server names no limit.
+  std::optional<double> per_s = std::nullopt;
+};
+
 /// \brief What a backend server has said about itself in its answers. Holds for
 /// one incarnation of the server, whatever its entry in the store says.
 struct ServerNotice {
@@ -64,6 +73,8 @@
   explicit ServerLoad(std::shared_ptr<const BackendServer> server)
       : server_(std::move(server)),
         hash_(HashOf(server_->id)),
+        limit_key_(static_cast<uint32_t>(
+            base::StableHash(server_->id, server_->incarnation))),
         cold_until_(server_->cold_until),
         requests_in_last_second_(absl::Seconds(1)) {}
 
@@ -73,6 +84,9 @@
 
   /// \returns the hash that identifies the server in heartbeats.
   uint32_t hash() const { return hash_; }
+  /// \returns the hash that identifies this incarnation of the server in the
+  /// heartbeats' limits.
+  uint32_t limit_key() const { return limit_key_; }
 
   const BackendServer& server() const { return *server_; }
   /// \brief Replaces the description by a newer one of the same incarnation.
@@ -158,6 +172,7 @@
 
   std::shared_ptr<const BackendServer> server_;
   uint32_t hash_;
+  uint32_t limit_key_;
   absl::Time cold_until_;  ///< End of the warm-up time.
   CachedObjects cached_objects_;
   int own_in_flight_ = 0;
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -33,7 +33,7 @@
     : zones_(zones),
       random_(seed),
       hooks_(std::move(hooks)),
-      balancer_(zones, self),
+      balancer_(zones, self, hooks_.on_limit_changed),
       quotas_(std::move(self), incarnation, seed + internal::kQuotaSeed) {}
 
 void Steering::SetConfig(std::shared_ptr<const RoutingConfig> config) {
@@ -52,8 +52,10 @@
 }
 
 void Steering::SetInstances(std::vector<InstanceRecord> live,
-                            size_t announced_count) {
-  retry_allowance_.SetInstances(static_cast<int>(announced_count));
+                            absl::Span<const InstanceRecord> announced,
+                            absl::Time now) {
+  retry_allowance_.SetInstances(static_cast<int>(announced.size()));
+  balancer_.server_limits().SetInstances(announced, live, now);
   balancer_.SetInstances(std::move(live));
 }
 
@@ -152,14 +154,13 @@
   if (request->account != nullptr && request->may_have_run) {
     quotas_.ChargeAttempt(*request->account, now);
   }
-  placement.server->OnRequestStart(now);
   Attempt& attempt = request->attempt;
   attempt.id = ++last_attempt_id_;
   attempt.server = placement.server;
   attempt.start = now;
   attempt.had_free_slot = placement.load + 1 <= server.slots;
   attempt.was_cached =
-      Balancer::RecordStart(MakeQuery(*request), attempt.server.get(), now);
+      balancer_.RecordStart(MakeQuery(*request), attempt.server.get(), now);
   request->tried_servers.push_back(server.id);
   AttemptRecord& record = request->attempt_records.emplace_back();
   record.server = server.id;
@@ -212,6 +213,8 @@
     zones_->RecordRoundTrip(server->server().zone, *end.connect_time);
   }
   if (!end.is_other_server) {
+    balancer_.server_limits().OnAnswer(*server, end.limit,
+                                       request.attempt.start, now);
     RecordNotice(server, end, now);
   }
   const bool is_run = end.result != AttemptResult::kConnectFailed &&
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -79,6 +79,9 @@
     /// because it asked for a pause.
     std::function<void(const BackendServer&, absl::Duration)>
         on_pause_requested;
+    /// Called when a backend server names a limit for the requests of all
+    /// instances together, or (nullopt) no longer names one.
+    ServerLimits::ChangeHook on_limit_changed;
     /// Called once for a backend server whose load report is partly malformed.
     std::function<void(const BackendServer&)> on_malformed_load;
   };
@@ -97,10 +100,13 @@
     retry_allowance_.SetBound(bound);
   }
   /// \param live all live instances, including this one.
-  /// \param announced_count number of instances that have announced themselves,
-  /// whether or not they are heard of. The retry budget is divided by this
-  /// number, because an instance that is only silent uses its share.
-  void SetInstances(std::vector<InstanceRecord> live, size_t announced_count);
+  /// \param announced all instances that have announced themselves, including
+  /// this one, whether or not they are heard of. What the fleet may do is
+  /// divided among them, because an instance that is only silent uses its
+  /// share.
+  void SetInstances(std::vector<InstanceRecord> live,
+                    absl::Span<const InstanceRecord> announced,
+                    absl::Time now);
   /// \param fingerprints fingerprints of all requests that are reported to
   /// crash servers.
   void SetCrashReports(const std::set<uint64_t>& fingerprints, absl::Time now);
--- a/packages/gateway/src/steering_event.h
+++ b/packages/gateway/src/steering_event.h
@@ -53,6 +53,7 @@
   bool is_server_leaving = false;
   /// Time for which the server wants no requests from this instance.
   std::optional<absl::Duration> requested_pause;
+  LimitReport limit;
   /// Set if a connection was opened.
   std::optional<absl::Duration> connect_time;
 };
--- a/test/gateway_decisions_test.cc
+++ b/test/gateway_decisions_test.cc
@@ -227,6 +227,67 @@
   }
 }
 
+// Guards against objects that prefer a server which may not take their
+// requests: each of them would run on servers that have not cached it.
+TEST_CASE("fewer objects prefer a server with a request limit") {
+  ZoneMap zones({{"a-1", "a"}}, "a-1");
+  Balancer balancer(&zones, "i");
+  const std::vector<InstanceRecord> self = {Instance("i", "a-1", "a")};
+  balancer.SetInstances(self);
+  const Route route = RouteOf("r", "/", {{"s", 1}});
+  RoutingConfig::Builder builder;
+  builder.AddRoute("h", route);
+  balancer.SetConfig(builder.Build());
+  BackendSet set;
+  for (const char* id : {"s1", "s2", "s3"}) {
+    BackendServer server;
+    server.id = id;
+    server.service = "s";
+    server.zone = "a-1";
+    server.slots = 10;
+    set.Add(server);
+  }
+  balancer.SetBackends(set);
+  absl::Time now = kStart;
+  const auto preferred = [&](int objects) {
+    std::map<std::string, int> count;
+    for (int i = 0; i < objects; ++i) {
+      PlacementQuery query;
+      query.route = &route;
+      query.service = "s";
+      query.object = base::StableHash("object", i);
+      query.has_affinity = true;
+      query.objective_deadline = now + absl::Milliseconds(300);
+      const Placement placement = balancer.Choose(query, now);
+      REQUIRE(placement.server != nullptr);
+      ++count[placement.server->server().id];
+      now += absl::Milliseconds(10);
+    }
+    return count;
+  };
+  const auto before = preferred(600);
+  CHECK(before.at("s1") > 150);
+  // The service uses all slots of the servers without a limit; the limit
+  // suffices for a quarter of what they take.
+  const double work_s =
+      absl::ToDoubleSeconds(balancer.WorkTimeOf("s", route).warm);
+  ServerLimits& limits = balancer.server_limits();
+  limits.SetInstances(self, self, now);
+  now += ServerLimits::kStartDelay;
+  const uint32_t key =
+      ServerLoad(std::make_shared<const BackendServer>(*set.Find("s1")))
+          .limit_key();
+  const double per_s = 0.25 * 10 / work_s;
+  limits.OnNotices({{key, per_s, absl::ZeroDuration()}}, now);
+  balancer.UpdatePlans({{"a", {{Balancer::HeartbeatKey("s"), 30}}}}, now);
+  const auto limited = preferred(600);
+  // One ninth of the objects: 0.25 of 2.25.
+  CHECK(limited.at("s1") > 30);
+  CHECK(limited.at("s1") < 110);
+  CHECK(limited.at("s2") > 200);
+  CHECK(limited.at("s3") > 200);
+}
+
 // Guards against cold servers that get more requests from all instances
 // together than they tolerate.
 TEST_CASE(
--- a/test/gateway_world.cc
+++ b/test/gateway_world.cc
@@ -65,7 +65,7 @@
         std::make_unique<Steering>(instance.zones.get(), record.name,
                                    instances_.size() + 1, Steering::Hooks());
     instance.steering->SetConfig(config);
-    instance.steering->SetInstances(records, records.size());
+    instance.steering->SetInstances(records, records, now_);
     instances_.push_back(std::move(instance));
   }
   PublishBackends();
--- a/test/heartbeat_test.cc
+++ b/test/heartbeat_test.cc
@@ -23,6 +23,8 @@
   heartbeat.loads = {{0xffffffff, 3}, {7, 1}};
   heartbeat.demand = {{9, 4321}};
   heartbeat.planned_shares = {{0xfffffffe, 5, 250}, {0xfffffffe, 6, 750}};
+  heartbeat.server_limits = {{0xfffffffd, 12.5, absl::Milliseconds(40)},
+                             {8, std::nullopt, absl::Seconds(3)}};
   const auto read = Heartbeat::Decode(heartbeat.Encode());
   REQUIRE(read.has_value());
   CHECK(read->instance == heartbeat.instance);
@@ -30,6 +32,12 @@
   CHECK(read->loads == heartbeat.loads);
   CHECK(read->demand == heartbeat.demand);
   CHECK(read->planned_shares == heartbeat.planned_shares);
+  REQUIRE(read->server_limits.size() == 2);
+  CHECK(read->server_limits[0].server == 0xfffffffd);
+  CHECK(read->server_limits[0].per_s == 12.5);
+  CHECK(read->server_limits[0].age == absl::Milliseconds(40));
+  CHECK_FALSE(read->server_limits[1].per_s.has_value());
+  CHECK(read->server_limits[1].age == absl::Seconds(3));
   using LoadReport = Heartbeat::LoadReport;
   const auto without_loads =
       Heartbeat::Decode(heartbeat.Encode(LoadReport::kOmitted));
@@ -61,10 +69,30 @@
     heartbeat.loads.emplace_back(0xffffff00 + i % 256, 100'000);
     heartbeat.demand.emplace_back(0xffffff00 + i % 256, 100'000);
     heartbeat.planned_shares.push_back({0xffffff00, 0xffffff00, 1000});
+    heartbeat.server_limits.push_back({0xffffff00, 1e300, absl::Seconds(10)});
   }
   CHECK(heartbeat.Encode().size() <= Heartbeat::kMaxEncodedBytes);
 }
 
+// Guards against an upgrade during which instances do not hear each other: the
+// heartbeats of an earlier version have no limits of servers.
+TEST_CASE("a heartbeat without limits of servers is accepted") {
+  Heartbeat heartbeat;
+  heartbeat.instance = "edge-1";
+  heartbeat.server_limits = {{1, 2.0, absl::ZeroDuration()}};
+  std::vector<uint8_t> encoded = heartbeat.Encode();
+  // The message is a short list whose last element is the list of limits.
+  constexpr uint8_t short_list = 0x90;
+  REQUIRE(encoded.front() == (short_list | 11));
+  constexpr size_t limits_bytes = 1 + 1 + 3 + 1;
+  encoded.resize(encoded.size() - limits_bytes);
+  encoded.front() = short_list | 10;
+  const auto read = Heartbeat::Decode(encoded);
+  REQUIRE(read.has_value());
+  CHECK(read->instance == "edge-1");
+  CHECK(read->server_limits.empty());
+}
+
 // Guards against a datagram that ends the process by stack overflow: the
 // decoder is recursive.
 TEST_CASE("a deeply nested datagram is rejected") {
--- a/test/load_figure_test.cc
+++ b/test/load_figure_test.cc
@@ -16,7 +16,7 @@
         steering(&zones,
                  "self",
                  1,
-                 {{}, {}, {}, {}, {}, {}, [this](const BackendServer&) {
+                 {{}, {}, {}, {}, {}, {}, {}, [this](const BackendServer&) {
                     ++malformed_reports;
                   }}) {
     RoutingConfig::Builder builder;
@@ -33,7 +33,7 @@
     self.name = "self";
     self.zone = "a-1";
     self.region = "a";
-    steering.SetInstances({self}, 1);
+    steering.SetInstances({self}, {self}, now);
     BackendSet set;
     for (int i = 0; i < 4; ++i) {
       BackendServer server;
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -268,6 +268,27 @@
   }
 }
 
+// Guards against a limit that is missed, and against an unreadable one that is
+// taken for no limit or for a limit of 0.
+TEST_CASE("the request limit of a server is read from its answers") {
+  HttpResponse answer = MakeAnswer(200, "");
+  CHECK(ReadAnswer(answer).limit.is_known);
+  CHECK_FALSE(ReadAnswer(answer).limit.per_s.has_value());
+  for (const auto& [text, per_s] : std::map<std::string, double>{
+           {"0", 0}, {"12", 12}, {"0.25", 0.25}, {" 7.5 ", 7.5}}) {
+    CAPTURE(text);
+    answer.set("Server-Limit", text);
+    CHECK(ReadAnswer(answer).limit.is_known);
+    CHECK(ReadAnswer(answer).limit.per_s == per_s);
+  }
+  for (const char* invalid : {"", "-1", "nan", "inf", "1e999", "3/s", "few"}) {
+    CAPTURE(invalid);
+    answer.set("Server-Limit", invalid);
+    CHECK_FALSE(ReadAnswer(answer).limit.is_known);
+    CHECK_FALSE(ReadAnswer(answer).limit.per_s.has_value());
+  }
+}
+
 // Guards against a load report that is dropped because of its fourth figure, or
 // whose fourth figure makes a server look extremely fast or slow.
 TEST_CASE("the fourth figure of a load report is optional and bounded") {
--- a/test/steering_accounts_test.cc
+++ b/test/steering_accounts_test.cc
@@ -27,6 +27,7 @@
                   {},
                   {},
                   {},
+                  {},
                   {}}) {
     RoutingConfig::Builder builder;
     builder.Version(4).AddService({"s", "/health", 330, absl::Seconds(3), 8});
@@ -42,7 +43,7 @@
     self.name = "self";
     self.zone = "a-1";
     self.region = "a";
-    steering.SetInstances({self}, 1);
+    steering.SetInstances({self}, {self}, kStart);
     PublishServers({"a-1", "b-1"});
   }
 
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -37,6 +37,9 @@
              [this](const BackendServer& server, absl::Duration pause) {
                requested_pauses[server.id] = pause;
              },
+             [this](const BackendServer& server, std::optional<double> per_s) {
+               limits[server.id] = per_s;
+             },
              {}}) {
     RoutingConfig::Builder builder;
     builder.Version(1).AddService({"s", "/health", 330, absl::Seconds(3), 8});
@@ -56,7 +59,7 @@
     self.name = "self";
     self.zone = "a-1";
     self.region = "a";
-    steering.SetInstances({self}, 1);
+    steering.SetInstances({self}, {self}, kStart);
     PublishServers(4);
   }
 
@@ -186,6 +189,7 @@
   std::map<std::string, absl::Duration> paused;  ///< Pause by server id.
   std::vector<std::string> leaving;
   std::map<std::string, absl::Duration> requested_pauses;
+  std::map<std::string, std::optional<double>> limits;
   RequestId last_id = 5000;
   ZoneMap zones;
   Steering steering;
@@ -316,6 +320,45 @@
   CHECK(f.ServersOfNextRequests() == std::set<std::string>{""});
 }
 
+// Guards against requests beyond the limit that a server names, and against a
+// request that waits for it although all servers have named one.
+TEST_CASE("requests beyond the limits of all servers are refused at once") {
+  Fixture f;
+  f.PublishServers(1);
+  f.now += ServerLimits::kStartDelay;
+  AttemptEnd end = Fixture::Answered();
+  end.limit = {true, 2.0};
+  const std::string server = f.SendWithNotice(1, end);
+  REQUIRE(f.limits.count(server) == 1);
+  CHECK(f.limits[server] == 2.0);
+  int sent = 0;
+  const absl::Time window_end = f.now + ServerLimits::kWindow;
+  for (RequestId id = 2; f.now < window_end; ++id) {
+    const auto actions = f.Send("/book/1", id);
+    if (const auto* start = Fixture::Find<StartAttempt>(actions)) {
+      ++sent;
+      end.attempt = start->attempt;
+      f.steering.OnAttemptEnd(end, f.now);
+    } else {
+      const Refuse* refuse = Fixture::Find<Refuse>(actions);
+      REQUIRE(refuse != nullptr);
+      CHECK(refuse->status == 503);
+      CHECK(refuse->reason == "server-limit");
+      CHECK(refuse->retry_after > absl::ZeroDuration());
+    }
+    f.now += absl::Milliseconds(20);
+  }
+  // The first token accrues after half a second.
+  CHECK(sent >= 2 * 4 - 1);
+  CHECK(sent <= 1.5 * 2 * 4 + 5);
+  // An answer without a limit ends it.
+  f.now += absl::Seconds(1);
+  end.limit = {true, std::nullopt};
+  f.SendWithNotice(9000, end);
+  CHECK_FALSE(f.limits[server].has_value());
+  CHECK(f.ServersOfNextRequests() == std::set<std::string>{server});
+}
+
 // Guards against a log that does not show why a request was not retried.
 TEST_CASE("the record of a request shows how each attempt was decided") {
   Fixture f;
