--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -165,6 +165,18 @@
   });
 }
 
+void PlatformStandin::SaveStore() {
+  RunOnLoop([&] { saved_state_ = state_; });
+}
+
+void PlatformStandin::RestoreStore() {
+  RunOnLoop([&] {
+    state_ = saved_state_;
+    ++era_;
+    pending_watches_.clear();
+  });
+}
+
 void PlatformStandin::CompactHistory() {
   RunOnLoop([&] {
     oldest_revision_ = state_.revision();
@@ -201,6 +213,7 @@
                                   int status,
                                   std::string body) {
   HttpResponse answer(edge::http::int_to_status(status), 11);
+  answer.set("Store-Era", absl::StrCat(era_));
   answer.body() = std::move(body);
   answer.prepare_payload();
   store_.Answer(exchange, std::move(answer));
@@ -222,7 +235,8 @@
     AnswerStore(watch.exchange, 503, "");
     return true;
   }
-  if (watch.watch.after_revision < oldest_revision_) {
+  if (watch.watch.after_revision < oldest_revision_ ||
+      watch.watch.after_revision > state_.revision()) {
     AnswerStore(watch.exchange, 410, "");
     return true;
   }
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -62,6 +62,11 @@
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
   void SetStoreMode(StoreMode mode);
+  /// \brief Copies the content of the store, with its revision and leases.
+  void SaveStore();
+  /// \brief Replaces the content of the store by the saved copy: revisions go
+  /// back and are given out again, and pending watches are never answered.
+  void RestoreStore();
   /// \brief Makes watches of older revisions fail, including the pending
   /// watches.
   void CompactHistory();
@@ -146,6 +151,8 @@
   int store_port_;
   edge::HttpListener store_;
   transport::KeyValueState state_;
+  transport::KeyValueState saved_state_;
+  int64_t era_ = 1;  ///< Rises by one with each RestoreStore().
   StoreMode store_mode_ = StoreMode::kUp;
   int64_t oldest_revision_ = 0;
   std::atomic<int> watch_calls_{0};
