--- a/packages/control/src/store.h
+++ b/packages/control/src/store.h
@@ -2,6 +2,7 @@
 #define CONTROL_SRC_STORE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,6 +66,9 @@
   std::string prefix;
   int64_t after_revision = 0;
   absl::Duration timeout;
+  /// Era of `after_revision`, for a watch at another instance; 0 if unknown.
+  /// The store knows only its current era.
+  int64_t era = 0;
 };
 
 using StoreRequest = std::variant<StoreGet,
@@ -107,6 +111,10 @@
   bool has_more = false;
   int64_t revision = 0;  ///< Revision of the store at the time of the answer.
   uint64_t lease = 0;
+  /// Number that the store raises whenever it is restored from an older copy;
+  /// nullopt if the answer does not tell it. Revisions and lease ids of
+  /// different eras are not related.
+  std::optional<int64_t> era = std::nullopt;
 };
 
 }  // namespace baobabwall::control
--- a/packages/edge/src/control_thread.cc
+++ b/packages/edge/src/control_thread.cc
@@ -83,6 +83,9 @@
                      "1 while neither the store nor an instance tells it", {},
                      false,
                      [this] { return is_store_unreachable_ ? 1.0 : 0.0; });
+  metrics->AddReader("baobabwall_store_era",
+                     "Era of the store, which rises when it is restored", {},
+                     false, [this] { return static_cast<double>(era_); });
 }
 
 StoreLink::DoneCallback ControlThread::AnswerCallback() {
@@ -121,9 +124,9 @@
   asio::post(io_, [this] { control_.Leave(transport::SteadyNow()); });
 }
 
-void ControlThread::OnPeerRevision(int64_t revision) {
-  asio::post(io_, [this, revision] {
-    control_.OnPeerRevision(revision, transport::SteadyNow());
+void ControlThread::OnPeerPosition(gateway::StatePosition position) {
+  asio::post(io_, [this, position] {
+    control_.OnPeerPosition(position, transport::SteadyNow());
   });
 }
 
@@ -140,6 +143,7 @@
     last_read_ns_ = absl::ToUnixNanos(control_.last_read());
   }
   is_store_unreachable_ = control_.is_store_unreachable();
+  era_ = control_.era();
   if (now - last_connection_tick_ >= kConnectionTickInterval) {
     last_connection_tick_ = now;
     peer_listener_.OnTick(now);
--- a/packages/edge/src/control_thread.h
+++ b/packages/edge/src/control_thread.h
@@ -47,8 +47,8 @@
   /// \brief Removes the record of this instance from the store. Thread-safe.
   void Deregister();
   /// \brief Records that another instance has the shared state up to this
-  /// revision. Thread-safe.
-  void OnPeerRevision(int64_t revision);
+  /// position. Thread-safe.
+  void OnPeerPosition(gateway::StatePosition position);
   /// \brief Reports a request that crashes backend servers to the other
   /// instances. Thread-safe.
   void ReportCrash(uint64_t fingerprint);
@@ -77,6 +77,7 @@
   /// another thread.
   std::atomic<int64_t> last_read_ns_{0};
   std::atomic<bool> is_store_unreachable_{false};
+  std::atomic<int64_t> era_{0};
   absl::Time last_connection_tick_ = absl::InfinitePast();
   asio::steady_timer timer_;
   std::thread thread_;
--- a/packages/edge/src/gateway_process.cc
+++ b/packages/edge/src/gateway_process.cc
@@ -161,7 +161,9 @@
       settings, &dialect, self, seed, &metrics,
       {[&](uint64_t fingerprint) { control->ReportCrash(fingerprint); },
        [&] { supervisor->Stop(); },
-       [&](int64_t revision) { control->OnPeerRevision(revision); }});
+       [&](gateway::StatePosition position) {
+         control->OnPeerPosition(position);
+       }});
   ControlThread control_thread(
       &dialect, settings.store, self, seed, &metrics,
       [&](std::shared_ptr<const gateway::ControlView> view) {
--- a/packages/edge/src/relay_codec.cc
+++ b/packages/edge/src/relay_codec.cc
@@ -19,9 +19,15 @@
 constexpr absl::string_view kAllKeysPath = "/state/keys";
 constexpr absl::string_view kChangesPath = "/state/changes/";
 
+/// Era of the revision of a watch; a header, because earlier versions accept no
+/// further part of the path.
+constexpr char kEraHeader[] = "State-Era";
+
 constexpr char kDeflate[] = "deflate";
 
-constexpr size_t kNumAnswerFields = 3;
+constexpr size_t kMinAnswerFields = 3;
+/// Field with the era, which earlier versions do not send.
+constexpr size_t kEraField = 3;
 
 /// Maximum time for which a watch of another instance may stay pending.
 constexpr int64_t kMaxWatchTimeoutMs = 60'000;
@@ -52,12 +58,16 @@
 
 HttpRequest EncodeRelayRequest(const control::StoreRequest& call) {
   std::string target(internal::kAllKeysPath);
-  if (const auto* watch = std::get_if<control::StoreWatch>(&call)) {
+  const auto* watch = std::get_if<control::StoreWatch>(&call);
+  if (watch != nullptr) {
     target = absl::StrCat(internal::kChangesPath, watch->after_revision, "/",
                           absl::ToInt64Milliseconds(watch->timeout));
   }
   HttpRequest request(http::verb::get, target, 11);
   request.set(http::field::host, "peer");
+  if (watch != nullptr && watch->era != 0) {
+    request.set(internal::kEraHeader, absl::StrCat(watch->era));
+  }
   return request;
 }
 
@@ -84,6 +94,12 @@
     return std::nullopt;
   }
   watch.timeout = absl::Milliseconds(timeout_ms);
+  const auto era = request[internal::kEraHeader];
+  if (!era.empty() &&
+      !absl::SimpleAtoi(absl::string_view(era.data(), era.size()),
+                        &watch.era)) {
+    return std::nullopt;
+  }
   return watch;
 }
 
@@ -93,7 +109,8 @@
     items.push_back({item.key, item.value, item.revision, item.is_deleted});
   }
   const internal::json body = {static_cast<int64_t>(answer.status),
-                               answer.revision, std::move(items)};
+                               answer.revision, std::move(items),
+                               answer.era.value_or(0)};
   HttpResponse response(http::status::ok, 11);
   response.set(http::field::content_type, "application/msgpack");
   internal::json::to_msgpack(body, response.body());
@@ -134,7 +151,7 @@
   const std::optional<internal::json> message = gateway::DecodeMsgpack(
       {reinterpret_cast<const uint8_t*>(encoded.data()), encoded.size()});
   if (!message || !message->is_array() ||
-      message->size() < internal::kNumAnswerFields) {
+      message->size() < internal::kMinAnswerFields) {
     return {};
   }
   const internal::json& body = *message;
@@ -149,6 +166,10 @@
     for (const internal::json& item : body[2]) {
       decoded.key_values.push_back(internal::DecodeItem(item));
     }
+    if (body.size() > internal::kEraField) {
+      const auto era = body[internal::kEraField].get<int64_t>();
+      decoded.era = era > 0 ? std::make_optional(era) : std::nullopt;
+    }
     return decoded;
   } catch (const internal::json::exception&) {
     return {};
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -383,7 +383,7 @@
       pending_requests_.erase(pending);
     }
   }
-  request_log_.Write(record, view_ == nullptr ? 0 : view_->revision,
+  request_log_.Write(record, view_ == nullptr ? 0 : view_->position.revision,
                      transport::SteadyNow());
 }
 
@@ -483,7 +483,10 @@
   heartbeat.is_ready = IsReady();
   heartbeat.is_leaving = shutdown_start_ != absl::InfiniteFuture();
   heartbeat.is_active = steering_.IsActive(now);
-  heartbeat.state_revision = view_ == nullptr ? 0 : view_->revision;
+  const gateway::StatePosition position =
+      view_ == nullptr ? gateway::StatePosition() : view_->position;
+  heartbeat.state_revision = position.revision;
+  heartbeat.state_era = position.era;
   if (steering_.in_flight() > 0) {
     heartbeat.loads = steering_.balancer().OwnLoads();
   }
@@ -504,8 +507,8 @@
     steering_.balancer().AdoptPlans(peers_.LeaderShares(now));
   }
   UpdateLiveInstances(now);
-  if (peers_.newest_revision() > heartbeat.state_revision) {
-    hooks_.on_peer_revision(peers_.newest_revision());
+  if (position < peers_.newest_position()) {
+    hooks_.on_peer_position(peers_.newest_position());
   }
 }
 
--- a/packages/edge/src/traffic_loop.h
+++ b/packages/edge/src/traffic_loop.h
@@ -74,8 +74,8 @@
   struct Hooks {
     std::function<void(uint64_t fingerprint)> on_crashing_request;
     std::function<void()> on_shutdown_complete;
-    /// Called if another instance has a newer revision of the store's state.
-    std::function<void(int64_t revision)> on_peer_revision;
+    /// Called if another instance has a newer position of the shared state.
+    std::function<void(gateway::StatePosition)> on_peer_position;
   };
 
   TrafficLoop(const settings::GatewaySettings& settings,
--- a/packages/gateway/src/backend_registry.cc
+++ b/packages/gateway/src/backend_registry.cc
@@ -7,10 +7,45 @@
 
 namespace baobabwall::gateway {
 
+BackendRegistry::EntryState BackendRegistry::StateOf(
+    const BackendServer& server) {
+  // Without a start time, the counts of different incarnations can't be told
+  // apart.
+  return {server.incarnation, server.incarnation == 0 ? 0 : server.sequence};
+}
+
 void BackendRegistry::OnStoreReachable(absl::Time now) {
   store_reachable_since_ = now;
 }
 
+void BackendRegistry::OnStoreRestored(absl::Time now) {
+  restored_at_ = now;
+  store_reachable_since_ = now;
+}
+
+bool BackendRegistry::IsOutdated(const BackendServer& server) const {
+  const auto known = entries_.find(server.id);
+  if (known != entries_.end()) {
+    return StateOf(server) < StateOf(*known->second);
+  }
+  const auto departed = departed_.find(server.id);
+  return departed != departed_.end() && StateOf(server) < departed->second;
+}
+
+bool BackendRegistry::IsReturnOfDeparted(const BackendServer& server,
+                                         absl::Time now) const {
+  const auto departed = departed_.find(server.id);
+  return IsInRestoreGracePeriod(now) && entries_.count(server.id) == 0 &&
+         departed != departed_.end() && departed->second == StateOf(server);
+}
+
+void BackendRegistry::RememberDeparted(const BackendServer& server) {
+  if (departed_.size() >= kMaxDeparted) {
+    departed_.clear();
+  }
+  departed_[server.id] = StateOf(server);
+}
+
 void BackendRegistry::OnConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
 }
@@ -49,12 +84,19 @@
 void BackendRegistry::OnEntry(BackendServer server,
                               bool is_initial_read,
                               absl::Time now) {
+  doubtful_entries_.erase(server.id);
+  if (IsOutdated(server)) {
+    return;
+  }
+  if (IsReturnOfDeparted(server, now)) {
+    std::string id = server.id;
+    doubtful_entries_.emplace(std::move(id), std::move(server));
+    return;
+  }
+  departed_.erase(server.id);
   const auto known = entries_.find(server.id);
   const BackendServer* previous =
       known == entries_.end() ? nullptr : known->second.get();
-  if (previous != nullptr && server.incarnation < previous->incarnation) {
-    return;
-  }
   if (previous != nullptr && server.incarnation != previous->incarnation) {
     previous = nullptr;
   }
@@ -77,11 +119,16 @@
   LogChange(absl::StrCat("registry: server removed server=", entry->first,
                          " service=", entry->second->service));
   is_changed_ = true;
+  RememberDeparted(*entry->second);
   kept_ids_.erase(entry->first);
   entries_.erase(entry);
 }
 
 void BackendRegistry::OnRemoved(absl::string_view id, absl::Time now) {
+  if (const auto doubtful = doubtful_entries_.find(id);
+      doubtful != doubtful_entries_.end()) {
+    doubtful_entries_.erase(doubtful);
+  }
   const auto known = entries_.find(id);
   if (known == entries_.end()) {
     return;
@@ -112,6 +159,9 @@
 void BackendRegistry::OnEvacuation(absl::string_view zone,
                                    bool is_evacuated,
                                    absl::Time now) {
+  if (const auto kept = kept_zones_.find(zone); kept != kept_zones_.end()) {
+    kept_zones_.erase(kept);
+  }
   const auto known = evacuated_zones_.find(zone);
   if (is_evacuated == (known != evacuated_zones_.end())) {
     return;
@@ -143,7 +193,12 @@
                                     absl::Time now) {
   const std::set<std::string, std::less<>> previous = evacuated_zones_;
   for (const std::string& zone : previous) {
-    if (zones.count(zone) == 0) {
+    if (zones.count(zone) > 0) {
+      continue;
+    }
+    if (IsInRestoreGracePeriod(now)) {
+      kept_zones_.insert(zone);
+    } else {
       OnEvacuation(zone, false, now);
     }
   }
@@ -153,6 +208,9 @@
 }
 
 void BackendRegistry::OnTick(absl::Time now) {
+  if (!IsInRestoreGracePeriod(now)) {
+    EndRestoreGracePeriod(now);
+  }
   if (kept_ids_.empty() || IsInOutageGracePeriod(now)) {
     return;
   }
@@ -166,6 +224,15 @@
   }
 }
 
+void BackendRegistry::EndRestoreGracePeriod(absl::Time now) {
+  for (const std::string& zone : std::exchange(kept_zones_, {})) {
+    OnEvacuation(zone, false, now);
+  }
+  for (auto& [id, server] : std::exchange(doubtful_entries_, {})) {
+    OnEntry(server, false, now);
+  }
+}
+
 bool BackendRegistry::TakeChanged() {
   const int logged_changes = std::exchange(logged_changes_, 0);
   if (logged_changes > kMaxListedChanges) {
--- a/packages/gateway/src/backend_registry.h
+++ b/packages/gateway/src/backend_registry.h
@@ -23,12 +23,24 @@
 /// after the store became reachable again is therefore kept until that period
 /// ends. At any other time the removal of an entry means that the server has
 /// left.
+///
+/// A store that was restored from a copy returns older entries until the
+/// servers and the operators have written theirs again. What is known to be
+/// newer stays: an entry with a higher count, the removal of an entry, and, for
+/// kRestoreGracePeriod, an evacuation.
 class BackendRegistry {
  public:
   /// Running servers register again within about 2 s after the store becomes
   /// reachable.
   static constexpr absl::Duration kOutageGracePeriod = absl::Milliseconds(2200);
 
+  /// Time for which a restored store may lack an evacuation, or have the entry
+  /// of a server that had left: an entry that nobody renews ends within this
+  /// time.
+  static constexpr absl::Duration kRestoreGracePeriod = absl::Seconds(5);
+  /// Maximum number of removed servers that are remembered.
+  static constexpr size_t kMaxDeparted = 4096;
+
   /// Maximum number of changes that are logged one by one between two calls of
   /// TakeChanged(); of the others only the number is logged.
   static constexpr int kMaxListedChanges = 8;
@@ -40,6 +52,9 @@
   /// \brief Called when the store answers again after an outage.
   void OnStoreReachable(absl::Time now);
 
+  /// \brief Called when the store was found to be restored from an older copy.
+  void OnStoreRestored(absl::Time now);
+
   /// \brief Sets the configuration, which holds the warm-up time of each
   /// service.
   void OnConfig(std::shared_ptr<const RoutingConfig> config);
@@ -76,6 +91,18 @@
   using Entries =
       std::map<std::string, std::shared_ptr<const BackendServer>, std::less<>>;
 
+  /// Incarnation of a server, and its count of changes of the entry.
+  using EntryState = std::pair<int64_t, int64_t>;
+
+  bool IsInRestoreGracePeriod(absl::Time now) const {
+    return now - restored_at_ < kRestoreGracePeriod;
+  }
+  static EntryState StateOf(const BackendServer& server);
+  /// \returns whether a newer state of the server is known than the entry's.
+  bool IsOutdated(const BackendServer& server) const;
+  /// \returns whether the entry is one that a restored store has brought back.
+  bool IsReturnOfDeparted(const BackendServer& server, absl::Time now) const;
+  void RememberDeparted(const BackendServer& server);
   absl::Duration WarmupOf(const BackendServer& server) const;
   bool IsInOutageGracePeriod(absl::Time now) const;
   /// \param previous the previous entry of the same incarnation; nullptr if the
@@ -83,6 +110,9 @@
   void LogEntry(const BackendServer* previous, const BackendServer& server);
   void LogChange(const std::string& line);
   void Remove(Entries::iterator entry);
+  /// \brief Ends the evacuations that are still missing, and accepts the
+  /// entries that are still there.
+  void EndRestoreGracePeriod(absl::Time now);
   /// \brief Starts the warm-up time of the zone's servers.
   void StartWarmup(absl::string_view zone, absl::Time now);
 
@@ -92,7 +122,15 @@
   Entries entries_;  ///< By id.
   /// Ids of the servers whose removed entries are kept for the grace period.
   std::set<std::string, std::less<>> kept_ids_;
+  /// Last states of the servers whose entries were removed, by id.
+  std::map<std::string, EntryState, std::less<>> departed_;
+  /// Entries that a restored store has brought back, until it is clear whether
+  /// their servers renew them.
+  std::map<std::string, BackendServer, std::less<>> doubtful_entries_;
   std::set<std::string, std::less<>> evacuated_zones_;
+  /// Evacuated zones that the restored store does not name.
+  std::set<std::string, std::less<>> kept_zones_;
+  absl::Time restored_at_ = absl::InfinitePast();
   absl::Time store_reachable_since_ = absl::InfinitePast();
   bool is_changed_ = false;
   int logged_changes_ = 0;  ///< Since the last TakeChanged().
--- a/packages/gateway/src/backend_server.h
+++ b/packages/gateway/src/backend_server.h
@@ -26,6 +26,9 @@
   /// Start time of this incarnation in ms since the Unix epoch; 0 if not
   /// reported.
   int64_t incarnation = 0;
+  /// Count that the server raises with each change of its entry; 0 if not
+  /// reported. Starts anew with each incarnation.
+  int64_t sequence = 0;
   /// End of the warm-up time of the server.
   absl::Time cold_until = absl::InfinitePast();
 };
--- a/packages/gateway/src/gateway_control.cc
+++ b/packages/gateway/src/gateway_control.cc
@@ -13,6 +13,11 @@
 constexpr uint64_t kReaderSeed = 1;
 constexpr uint64_t kRegistrationSeed = 2;
 
+/// \returns the store's key of the report of a crashing request.
+std::string CrashKey(uint64_t fingerprint) {
+  return absl::StrCat(kCrashPrefix, absl::Hex(fingerprint));
+}
+
 }  // namespace internal
 
 GatewayControl::GatewayControl(InstanceRecord self, uint64_t seed, Hooks hooks)
@@ -53,6 +58,9 @@
   control::StoreCall call;
   call.id = ++last_call_id_;
   call.request = std::move(request);
+  if (auto* watch = std::get_if<control::StoreWatch>(&call.request)) {
+    watch->era = era();
+  }
   if (owner == CallOwner::kReader) {
     // The reader has canceled its earlier call.
     pending_calls_.erase(reader_call_id_);
@@ -93,6 +101,7 @@
   ReturnToPreferredSource(now);
   ReadState(now);
   registry_.OnTick(now);
+  RemoveLostRecords();
   PublishIfChanged();
   relay_.OnTick(RelayState(now), now);
 }
@@ -223,7 +232,7 @@
   if (!reader_source_.is_store() || is_leaving_) {
     return StateRelay::State::kNotReading;
   }
-  if (!reader_.has_complete_read()) {
+  if (!reader_.has_current_read()) {
     return reader_.is_pending() ? StateRelay::State::kStarting
                                 : StateRelay::State::kNotReading;
   }
@@ -232,8 +241,19 @@
              : StateRelay::State::kNotReading;
 }
 
-void GatewayControl::OnPeerRevision(int64_t revision, absl::Time now) {
-  if (revision <= reader_.revision()) {
+void GatewayControl::OnPeerPosition(StatePosition position, absl::Time now) {
+  if (era() < position.era) {
+    // The answer to any call to the store tells whether this is right.
+    if (now >= next_era_check_at_) {
+      next_era_check_at_ = now + kEraCheckInterval;
+      registration_.CallSoon(now);
+      OnTick(now);
+    }
+    return;
+  }
+  const int64_t revision = position.revision;
+  const bool is_read = position.era < era() || revision <= reader_.revision();
+  if (is_read || !reader_.has_current_read()) {
     behind_peers_since_ = absl::InfiniteFuture();
     return;
   }
@@ -273,7 +293,9 @@
   if (is_answered && !is_older) {
     reader_.OnAnswer(answer, now);
     last_read_ = now;
-    mirror_.OnRevision(reader_.revision());
+    if (reader_.has_current_read()) {
+      mirror_.OnRevision(reader_.revision());
+    }
     peer_lag_.OnRead(reader_.revision());
     behind_peers_since_ = absl::InfiniteFuture();
     return;
@@ -326,6 +348,104 @@
   if (!is_from_peer && answer.status != control::StoreStatus::kUnknown) {
     last_store_contact_ = std::max(last_store_contact_, sent_at);
   }
+  switch (CheckEra(answer, sent_at, is_from_peer)) {
+    case EraCheck::kSame:
+      PassOnAnswer(owner, answer, now);
+      break;
+    case EraCheck::kOutdated:
+      PassOnAnswer(owner, {}, now);
+      break;
+    case EraCheck::kRestored:
+      if (EnterEra(*answer.era, now) && owner == CallOwner::kRegistration) {
+        // Only tells that the store is reachable: the lease is an earlier one.
+        OnStoreProbe(answer.status != control::StoreStatus::kRefused, now);
+      } else {
+        PassOnAnswer(owner, answer, now);
+      }
+      break;
+  }
+  OnTick(now);
+}
+
+GatewayControl::EraCheck GatewayControl::CheckEra(
+    const control::StoreAnswer& answer,
+    absl::Time sent_at,
+    bool is_from_peer) const {
+  if (!answer.era || answer.era == era_) {
+    return EraCheck::kSame;
+  }
+  // Another instance may not know of the restore yet, and an answer of the
+  // store may have been on its way.
+  const bool is_outdated =
+      is_from_peer ? answer.era < era_ : sent_at < era_since_;
+  return is_outdated ? EraCheck::kOutdated : EraCheck::kRestored;
+}
+
+bool GatewayControl::EnterEra(int64_t era, absl::Time now) {
+  const bool is_first = !era_.has_value() && !reader_.has_complete_read();
+  era_ = era;
+  era_since_ = now;
+  mirror_.OnEra(era);
+  if (is_first) {
+    return false;
+  }
+  hooks_.log(absl::StrCat("store: restored era=", era,
+                          " read_revision=", reader_.revision()));
+  ForgetPendingCalls();
+  watch_probe_.OnWatchEnded();
+  reader_.OnStoreRestored(now);
+  registration_.OnStoreRestored(now);
+  registry_.OnStoreRestored(now);
+  peer_lag_ = RevisionLag();
+  behind_peers_since_ = absl::InfiniteFuture();
+  keep_records_until_ = now + kRecordReturnTime;
+  keep_crash_reports_until_ = now + kCrashReportLease;
+  is_changed_ = true;
+  RepeatCrashReports(now);
+  return true;
+}
+
+void GatewayControl::ForgetPendingCalls() {
+  for (auto call = pending_calls_.begin(); call != pending_calls_.end();) {
+    const auto pending = call++;
+    const CallOwner owner = pending->second.owner;
+    // The others have no effect on the store, and wait for their answers.
+    if (owner != CallOwner::kWatchProbe && owner != CallOwner::kInstanceRead) {
+      pending_calls_.erase(pending);
+    }
+  }
+}
+
+void GatewayControl::RepeatCrashReports(absl::Time now) {
+  crashing_requests_to_report_.clear();
+  for (const auto& [fingerprint, end] : own_crash_reports_) {
+    if (now < end) {
+      crashing_requests_to_report_.push_back(fingerprint);
+    }
+  }
+  if (!crashing_requests_to_report_.empty()) {
+    Call(CallOwner::kCrashLease, control::StoreLeaseGrant{kCrashReportLease});
+  }
+}
+
+void GatewayControl::RemoveLostRecords() {
+  if (now_ >= keep_records_until_) {
+    for (const std::string& key : std::exchange(missing_records_, {})) {
+      are_instances_changed_ =
+          instances_.erase(key) > 0 || are_instances_changed_;
+    }
+  }
+  if (now_ >= keep_crash_reports_until_) {
+    for (const uint64_t fingerprint :
+         std::exchange(missing_crash_reports_, {})) {
+      is_changed_ = crashing_requests_.erase(fingerprint) > 0 || is_changed_;
+    }
+  }
+}
+
+void GatewayControl::PassOnAnswer(CallOwner owner,
+                                  const control::StoreAnswer& answer,
+                                  absl::Time now) {
   if (owner == CallOwner::kReader) {
     OnReaderAnswer(answer, now);
   } else if (owner == CallOwner::kRegistration) {
@@ -347,7 +467,6 @@
       crashing_requests_to_report_.clear();
     }
   }
-  OnTick(now);
 }
 
 void GatewayControl::Apply(const control::StoreKeyValue& item,
@@ -380,12 +499,14 @@
     ApplyInstance(*instance);
   } else if (const auto* removed_instance =
                  std::get_if<InstanceRemoved>(&*change)) {
+    missing_records_.erase(removed_instance->key);
     are_instances_changed_ =
         instances_.erase(removed_instance->key) > 0 || are_instances_changed_;
     if (removed_instance->key == self_.Key()) {
       registration_.OnRecordRemoved(now_);
     }
   } else if (const auto* crash = std::get_if<CrashReported>(&*change)) {
+    missing_crash_reports_.erase(crash->fingerprint);
     const bool is_changed =
         crash->is_ended ? crashing_requests_.erase(crash->fingerprint) > 0
                         : crashing_requests_.insert(crash->fingerprint).second;
@@ -414,6 +535,7 @@
 }
 
 void GatewayControl::ApplyInstance(const InstanceWritten& change) {
+  missing_records_.erase(change.instance.Key());
   instances_[change.instance.Key()] = change.instance;
   are_instances_changed_ = true;
 }
@@ -423,9 +545,21 @@
   registry_.OnEvacuations(zones_in_read_, now_);
   mirror_.OnCompleteRead(keys, reader_.revision());
   const std::set<std::string> existing_keys(keys.begin(), keys.end());
+  const bool keeps_records = now_ < keep_records_until_;
   for (auto known = instances_.begin(); known != instances_.end();) {
-    const bool is_kept = existing_keys.count(known->first) > 0;
-    known = is_kept ? std::next(known) : instances_.erase(known);
+    const bool is_missing = existing_keys.count(known->first) == 0;
+    if (is_missing && keeps_records) {
+      missing_records_.insert(known->first);
+    }
+    known = is_missing && !keeps_records ? instances_.erase(known)
+                                         : std::next(known);
+  }
+  for (const uint64_t fingerprint : crashing_requests_) {
+    const auto own = own_crash_reports_.find(fingerprint);
+    const bool is_own = own != own_crash_reports_.end() && now_ < own->second;
+    if (!is_own && existing_keys.count(internal::CrashKey(fingerprint)) == 0) {
+      missing_crash_reports_.insert(fingerprint);
+    }
   }
   if (registration_.is_registered() && existing_keys.count(self_.Key()) == 0) {
     registration_.OnRecordRemoved(now_);
@@ -438,8 +572,9 @@
 }
 
 ConfigFreshness GatewayControl::Freshness(absl::Time now) const {
-  const bool may_be_outdated =
-      reader_.is_store_unreachable() || peer_lag_.Lag(now) >= kMaxCurrentLag;
+  const bool may_be_outdated = reader_.is_store_unreachable() ||
+                               !reader_.has_current_read() ||
+                               peer_lag_.Lag(now) >= kMaxCurrentLag;
   return may_be_outdated ? ConfigFreshness::kMayBeOutdated
                          : ConfigFreshness::kCurrent;
 }
@@ -463,7 +598,7 @@
   view->backends = registry_.Publish();
   view->instances = published_instances_;
   view->crashing_requests = crashing_requests_;
-  view->revision = reader_.revision();
+  view->position = {era(), reader_.revision()};
   view->freshness = freshness;
   published_freshness_ = freshness;
   hooks_.publish(std::move(view));
@@ -487,6 +622,7 @@
   }
   is_changed_ = true;
   LogCrash(fingerprint, false);
+  own_crash_reports_[fingerprint] = now + kCrashReportLease;
   crashing_requests_to_report_.push_back(fingerprint);
   Call(CallOwner::kCrashLease, control::StoreLeaseGrant{kCrashReportLease});
 }
@@ -500,7 +636,7 @@
 void GatewayControl::WriteCrashReports(uint64_t lease) {
   for (const uint64_t fingerprint : crashing_requests_to_report_) {
     control::StoreCompareAndSwap put;
-    put.key = absl::StrCat(kCrashPrefix, absl::Hex(fingerprint));
+    put.key = internal::CrashKey(fingerprint);
     put.value = self_.name;
     put.lease = lease;
     Call(CallOwner::kCrashReport, std::move(put));
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -18,6 +18,7 @@
 #include "gateway/src/revision_lag.h"
 #include "gateway/src/state_change.h"
 #include "gateway/src/state_mirror.h"
+#include "gateway/src/state_position.h"
 #include "gateway/src/state_reader.h"
 #include "gateway/src/state_relay.h"
 #include "gateway/src/state_sources.h"
@@ -33,8 +34,8 @@
   /// The same object as in the previous view if no record has changed.
   std::shared_ptr<const std::vector<InstanceRecord>> instances;
   std::set<uint64_t> crashing_requests;  ///< Fingerprints of the requests.
-  /// Store revision up to which all changes are included.
-  int64_t revision = 0;
+  /// Position in the store's history up to which all changes are included.
+  StatePosition position;
   /// Whether this instance knows that it may miss newer changes.
   ConfigFreshness freshness = ConfigFreshness::kCurrent;
 };
@@ -87,6 +88,13 @@
   /// its copy of the state may be out of date until the store answers again.
   static constexpr absl::Duration kMaxStoreSilence = absl::Milliseconds(2500);
 
+  /// Time for which the records of instances stay in use that are missing in a
+  /// restored store. Running instances write theirs again within this time.
+  static constexpr absl::Duration kRecordReturnTime = absl::Seconds(5);
+  /// Minimum interval of the calls that check whether another instance is right
+  /// that the store was restored.
+  static constexpr absl::Duration kEraCheckInterval = absl::Milliseconds(500);
+
   struct Hooks {
     /// Decodes a key of the store; returns nullopt for keys that are not
     /// relevant to this instance.
@@ -114,8 +122,8 @@
   /// \brief Reports a request that crashes servers to the other instances.
   void ReportCrash(uint64_t fingerprint, absl::Time now);
   /// \brief Called when another instance reports that it has read the shared
-  /// state up to this revision.
-  void OnPeerRevision(int64_t revision, absl::Time now);
+  /// state up to this position.
+  void OnPeerPosition(StatePosition position, absl::Time now);
   /// \brief Handles a read by another instance. The answer is sent by
   /// Hooks::answer_peer, immediately or later.
   void OnPeerCall(PeerCallId id,
@@ -127,6 +135,8 @@
   /// \returns the time of the last successful read or watch.
   absl::Time last_read() const { return last_read_; }
   bool is_store_unreachable() const { return reader_.is_store_unreachable(); }
+  /// \returns the era of the store; 0 if it is not known.
+  int64_t era() const { return era_.value_or(0); }
 
  private:
   enum class CallOwner {
@@ -149,6 +159,25 @@
     bool is_refused = false;  ///< The store or the instance rejected the call.
   };
 
+  /// How an answer relates to the known era of the store.
+  enum class EraCheck { kSame, kRestored, kOutdated };
+
+  EraCheck CheckEra(const control::StoreAnswer& answer,
+                    absl::Time sent_at,
+                    bool is_from_peer) const;
+  /// \brief Sets the era of the store. If an earlier one was known, what was
+  /// learned of its history is discarded: the revisions, the leases, and the
+  /// answers to calls that are pending.
+  /// \returns whether the store was restored.
+  bool EnterEra(int64_t era, absl::Time now);
+  void ForgetPendingCalls();
+  /// \brief Writes the reports of this instance again.
+  void RepeatCrashReports(absl::Time now);
+  /// \brief Removes what a restored store has not got back in time.
+  void RemoveLostRecords();
+  void PassOnAnswer(CallOwner owner,
+                    const control::StoreAnswer& answer,
+                    absl::Time now);
   void Call(CallOwner owner, control::StoreRequest request);
   absl::string_view CallName(CallOwner owner) const;
   /// \brief Reads the records of the instances, which decide whether this
@@ -193,12 +222,23 @@
   EndedCall last_call_;  ///< The call that ended most recently.
   /// Id of the reader's latest call.
   control::StoreCallId reader_call_id_ = 0;
+  std::optional<int64_t> era_;  ///< nullopt if the store does not tell it.
+  absl::Time era_since_ = absl::InfinitePast();
+  absl::Time next_era_check_at_ = absl::InfinitePast();
   std::shared_ptr<const RoutingConfig> config_;
   std::map<std::string, InstanceRecord> instances_;  ///< By key.
+  /// Keys of records that are missing in the restored store.
+  std::set<std::string> missing_records_;
+  absl::Time keep_records_until_ = absl::InfinitePast();
   std::shared_ptr<const std::vector<InstanceRecord>> published_instances_ =
       std::make_shared<const std::vector<InstanceRecord>>();
   std::set<uint64_t> crashing_requests_;
   std::vector<uint64_t> crashing_requests_to_report_;
+  /// Requests that this instance has reported, with the end of the report.
+  std::map<uint64_t, absl::Time> own_crash_reports_;
+  /// Crashing requests whose reports are missing in the restored store.
+  std::set<uint64_t> missing_crash_reports_;
+  absl::Time keep_crash_reports_until_ = absl::InfinitePast();
   /// Servers and zones returned so far by the complete read in progress.
   std::set<std::string> servers_in_read_;
   std::set<std::string> zones_in_read_;
--- a/packages/gateway/src/heartbeat.cc
+++ b/packages/gateway/src/heartbeat.cc
@@ -12,6 +12,7 @@
 /// missing while a fleet is upgraded.
 constexpr size_t kMinFieldCount = 10;
 constexpr size_t kServerLimitsField = 10;
+constexpr size_t kEraField = 11;
 constexpr size_t kPlannedShareFields = 3;
 constexpr size_t kServerLimitFields = 3;
 /// In place of a rate: the server names no limit any more.
@@ -107,7 +108,8 @@
       has_loads ? internal::Flatten(loads) : none,
       internal::Flatten(demand),
       has_loads ? internal::Flatten(planned_shares) : none,
-      internal::Flatten(server_limits)};
+      internal::Flatten(server_limits),
+      state_era};
   return nlohmann::json::to_msgpack(message);
 }
 
@@ -134,6 +136,9 @@
       heartbeat.server_limits = internal::UnflattenServerLimits(
           message[internal::kServerLimitsField]);
     }
+    if (message.size() > internal::kEraField) {
+      heartbeat.state_era = message[internal::kEraField].get<int64_t>();
+    }
     return heartbeat;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/packages/gateway/src/heartbeat.h
+++ b/packages/gateway/src/heartbeat.h
@@ -46,6 +46,7 @@
   bool is_active = false;
   /// Store revision up to which the instance has read all changes.
   int64_t state_revision = 0;
+  int64_t state_era = 0;  ///< Era of state_revision; see StatePosition.
   /// Requests in flight by Balancer::HeartbeatKey() of the server; at most
   /// kMaxLoads entries are sent.
   std::vector<std::pair<uint32_t, int>> loads;
--- a/packages/gateway/src/peer_table.cc
+++ b/packages/gateway/src/peer_table.cc
@@ -107,7 +107,9 @@
   peer.last_heartbeat = heartbeat;
   peer.last_heartbeat_received_at = now;
   zones_[peer.zone].last_heartbeat_received_at = now;
-  newest_revision_ = std::max(newest_revision_, heartbeat.state_revision);
+  newest_position_ =
+      std::max(newest_position_,
+               StatePosition{heartbeat.state_era, heartbeat.state_revision});
   return true;
 }
 
--- a/packages/gateway/src/peer_table.h
+++ b/packages/gateway/src/peer_table.h
@@ -12,6 +12,7 @@
 #include "absl/types/span.h"
 #include "gateway/src/heartbeat.h"
 #include "gateway/src/instance_record.h"
+#include "gateway/src/state_position.h"
 
 namespace baobabwall::gateway {
 
@@ -107,8 +108,9 @@
   /// server.
   absl::Span<const PlannedShare> LeaderShares(absl::Time now) const;
 
-  /// \returns the newest store revision that another instance has reported.
-  int64_t newest_revision() const { return newest_revision_; }
+  /// \returns the newest position of the shared state that another instance has
+  /// reported.
+  StatePosition newest_position() const { return newest_position_; }
 
   /// \brief An instance that has become live or is no longer live.
   struct Change {
@@ -195,7 +197,7 @@
   std::vector<Peer> peers_;                                 ///< Sorted by name.
   absl::flat_hash_map<std::string, size_t> index_by_name_;  ///< In peers_.
   std::vector<Zone> zones_;
-  int64_t newest_revision_ = 0;
+  StatePosition newest_position_;
   /// Time before which no heartbeat is due while this instance is idle.
   absl::Time next_idle_heartbeat_at_ = absl::InfinitePast();
   /// Instances that were live and have been removed since the last
--- a/packages/gateway/src/registration.cc
+++ b/packages/gateway/src/registration.cc
@@ -1,5 +1,6 @@
 #include "gateway/src/registration.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace baobabwall::gateway {
@@ -30,6 +31,7 @@
       put.key = record_.Key();
       put.value = record_.Encode();
       put.lease = lease_;
+      put.expected_revision = record_revision_;
       return put;
     }
     default:
@@ -56,6 +58,13 @@
     next_call_at_ = now;
     return;
   }
+  if (state_ == State::kNoRecord && overwrites_record_ &&
+      answer.status == StoreStatus::kConflict) {
+    record_revision_ =
+        answer.key_values.empty() ? 0 : answer.key_values.front().revision;
+    next_call_at_ = now + backoff_.Next(&random_);
+    return;
+  }
   // A conflict means that the key exists: an earlier write of this instance
   // succeeded, but its answer was lost.
   const bool is_already_written =
@@ -71,6 +80,8 @@
     state_ = State::kNoRecord;
   } else if (!is_leaving_) {
     state_ = State::kRegistered;
+    overwrites_record_ = false;
+    record_revision_ = 0;
     next_call_at_ = now + renewal_interval_ * (0.9 + 0.2 * random_.Unit());
   }
 }
@@ -84,6 +95,24 @@
   next_call_at_ = now;
 }
 
+void Registration::OnStoreRestored(absl::Time now) {
+  is_pending_ = false;
+  // The record of a leaving instance is in the copy only with its lease.
+  if (is_leaving_) {
+    next_call_at_ = now;
+    return;
+  }
+  state_ = State::kNoLease;
+  lease_ = 0;
+  overwrites_record_ = true;
+  record_revision_ = 0;
+  next_call_at_ = now;
+}
+
+void Registration::CallSoon(absl::Time now) {
+  next_call_at_ = std::min(next_call_at_, now);
+}
+
 void Registration::Leave(absl::Time now) {
   is_leaving_ = true;
   next_call_at_ = now;
--- a/packages/gateway/src/registration.h
+++ b/packages/gateway/src/registration.h
@@ -46,6 +46,15 @@
   /// running.
   void OnRecordRemoved(absl::Time now);
 
+  /// \brief Called when the store was restored from an older copy, in which the
+  /// lease may be missing or belong to another instance. The record is written
+  /// again under a new lease.
+  void OnStoreRestored(absl::Time now);
+
+  /// \brief Makes the next call due, because its answer shows the state of the
+  /// store.
+  void CallSoon(absl::Time now);
+
   /// \brief Removes the record immediately, because this instance shuts down.
   void Leave(absl::Time now);
 
@@ -70,6 +79,9 @@
   /// Whether the pending call ends the lease.
   bool is_lease_end_pending_ = false;
   uint64_t lease_ = 0;
+  /// Whether an existing record belongs to an earlier lease.
+  bool overwrites_record_ = false;
+  int64_t record_revision_ = 0;  ///< Of the record to overwrite; 0 for none.
   absl::Time next_call_at_ = absl::InfinitePast();
 };
 
--- a/packages/gateway/src/state_mirror.cc
+++ b/packages/gateway/src/state_mirror.cc
@@ -20,6 +20,11 @@
   }
 }
 
+void StateMirror::OnEra(int64_t era) {
+  *this = StateMirror();
+  era_ = era;
+}
+
 void StateMirror::EvictOldestDeletedKeys() {
   while (deleted_keys_.size() > kMaxDeletedKeys) {
     const auto oldest = deleted_keys_.begin();
@@ -45,6 +50,9 @@
   control::StoreAnswer answer;
   answer.status = control::StoreStatus::kOk;
   answer.revision = revision_;
+  if (era_ != 0) {
+    answer.era = era_;
+  }
   return answer;
 }
 
--- a/packages/gateway/src/state_mirror.h
+++ b/packages/gateway/src/state_mirror.h
@@ -24,6 +24,9 @@
 
   void OnChange(const control::StoreKeyValue& item);
 
+  /// \brief Removes all keys, whose revisions belong to an earlier era.
+  void OnEra(int64_t era);
+
   /// \brief Called after a complete read. Keys that the read did not return are
   /// removed.
   void OnCompleteRead(const std::vector<std::string>& keys, int64_t revision);
@@ -33,6 +36,8 @@
   void OnRevision(int64_t revision) { revision_ = revision; }
 
   int64_t revision() const { return revision_; }
+  /// \returns the era of the store; 0 if it is not known.
+  int64_t era() const { return era_; }
 
   /// \returns an answer with all keys that exist.
   control::StoreAnswer Range() const;
@@ -50,6 +55,7 @@
   /// By key; includes deleted keys.
   std::map<std::string, control::StoreKeyValue> items_;
   std::map<int64_t, std::string> deleted_keys_;  ///< Deleted keys by revision.
+  int64_t era_ = 0;
   int64_t revision_ = 0;
   /// Deletions up to this revision may be missing.
   int64_t history_begin_revision_ = 0;
--- a/packages/gateway/src/state_reader.cc
+++ b/packages/gateway/src/state_reader.cc
@@ -50,6 +50,14 @@
   next_call_at_ = now;
 }
 
+void StateReader::OnStoreRestored(absl::Time now) {
+  is_restored_ = true;
+  state_ = State::kReading;
+  revision_ = 0;
+  read_keys_.clear();
+  CancelCall(now);
+}
+
 void StateReader::OnStoreReachability(bool is_reachable, absl::Time now) {
   if (is_reachable && is_store_unreachable_) {
     next_call_at_ = std::min(next_call_at_, now);
@@ -101,6 +109,7 @@
   revision_ = first_page_revision_;
   state_ = State::kWatching;
   has_complete_read_ = true;
+  is_restored_ = false;
   hooks_.on_complete_read(read_keys_);
   read_keys_.clear();
 }
--- a/packages/gateway/src/state_reader.h
+++ b/packages/gateway/src/state_reader.h
@@ -76,6 +76,10 @@
   /// next call is due immediately.
   void CancelCall(absl::Time now);
 
+  /// \brief Called when the store was restored from an older copy. All keys are
+  /// read again, because the watched revision is one of another history.
+  void OnStoreRestored(absl::Time now);
+
   /// \brief Called when another call has shown whether the store is reachable.
   ///
   /// If the store becomes unreachable, the pending call is canceled, because
@@ -85,6 +89,8 @@
 
   /// \returns whether all keys have been read at least once.
   bool has_complete_read() const { return has_complete_read_; }
+  /// \returns whether all keys have been read since the store was restored.
+  bool has_current_read() const { return has_complete_read_ && !is_restored_; }
   /// \returns whether the latest call is still waiting for its answer.
   bool is_pending() const { return is_pending_; }
   bool is_store_unreachable() const { return is_store_unreachable_; }
@@ -105,6 +111,8 @@
   State state_ = State::kReading;
   bool is_pending_ = false;
   bool has_complete_read_ = false;
+  /// Whether the store was restored and has not been read since.
+  bool is_restored_ = false;
   bool is_store_unreachable_ = false;
   absl::Time next_call_at_ = absl::InfinitePast();
   int64_t revision_ = 0;  ///< Revision up to which all changes were read.
--- a/packages/gateway/src/state_relay.cc
+++ b/packages/gateway/src/state_relay.cc
@@ -23,6 +23,13 @@
                                    : control::StoreStatus::kNotFound);
 }
 
+StateRelay::SharedAnswer StateRelay::HistoryGoneAnswer() const {
+  auto answer =
+      std::make_shared<control::StoreAnswer>(mirror_->NoChangeAnswer());
+  answer->status = control::StoreStatus::kHistoryGone;
+  return answer;
+}
+
 void StateRelay::OnCall(PeerCallId id,
                         const control::StoreRequest& request,
                         absl::Time now) {
@@ -38,6 +45,7 @@
   call.deadline = now + (watch == nullptr ? kMaxRangeWait : watch->timeout);
   if (watch != nullptr) {
     call.after_revision = watch->after_revision;
+    call.era = watch->era;
   }
   if (SharedAnswer answer = AnswerTo(call, now)) {
     answer_callback_(id, std::move(answer));
@@ -48,9 +56,10 @@
 
 StateRelay::SharedAnswer StateRelay::Read(
     std::optional<int64_t> after_revision) {
-  if (answers_revision_ != mirror_->revision()) {
+  const StatePosition position = {mirror_->era(), mirror_->revision()};
+  if (!(answers_position_ == position)) {
     answers_.clear();
-    answers_revision_ = mirror_->revision();
+    answers_position_ = position;
   }
   const auto known = answers_.find(after_revision);
   if (known != answers_.end()) {
@@ -68,6 +77,12 @@
 
 StateRelay::SharedAnswer StateRelay::AnswerTo(const PendingCall& call,
                                               absl::Time now) {
+  if (call.era != 0 && call.era < mirror_->era()) {
+    return HistoryGoneAnswer();
+  }
+  if (call.era > mirror_->era()) {
+    return internal::EmptyAnswer(control::StoreStatus::kNotFound);
+  }
   const bool is_expired = now >= call.deadline;
   if (state_ == State::kStarting && !is_expired) {
     return nullptr;
--- a/packages/gateway/src/state_relay.h
+++ b/packages/gateway/src/state_relay.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "control/control.h"
 #include "gateway/src/state_mirror.h"
+#include "gateway/src/state_position.h"
 
 namespace baobabwall::gateway {
 
@@ -54,12 +55,15 @@
   struct PendingCall {
     /// Revision after which a watch reports changes; nullopt for a range.
     std::optional<int64_t> after_revision;
+    int64_t era = 0;  ///< Era of after_revision; 0 if it is not known.
     absl::Time deadline;
   };
 
   using SharedAnswer = std::shared_ptr<const control::StoreAnswer>;
 
   SharedAnswer RefusalAnswer() const;
+  /// \returns the answer to a watch whose revision is of an earlier era.
+  SharedAnswer HistoryGoneAnswer() const;
   /// \returns the answer to the call; nullptr if the call must wait.
   SharedAnswer AnswerTo(const PendingCall& call, absl::Time now);
   /// \returns the answer with all keys or with the changes after a revision;
@@ -72,7 +76,8 @@
   std::map<PeerCallId, PendingCall> pending_calls_;
   /// Answers at the mirror's current revision, by after_revision.
   std::map<std::optional<int64_t>, SharedAnswer> answers_;
-  int64_t answers_revision_ = -1;  ///< Revision of the mirror for answers_.
+  /// Position of the mirror for answers_.
+  StatePosition answers_position_{-1, -1};
 };
 
 }  // namespace baobabwall::gateway
--- a/test/heartbeat_test.cc
+++ b/test/heartbeat_test.cc
@@ -20,6 +20,7 @@
   heartbeat.is_ready = true;
   heartbeat.is_active = true;
   heartbeat.state_revision = 4;
+  heartbeat.state_era = 3;
   heartbeat.loads = {{0xffffffff, 3}, {7, 1}};
   heartbeat.demand = {{9, 4321}};
   heartbeat.planned_shares = {{0xfffffffe, 5, 250}, {0xfffffffe, 6, 750}};
@@ -45,6 +46,8 @@
   CHECK(without_loads->loads.empty());
   CHECK(without_loads->planned_shares.empty());
   CHECK(without_loads->demand == heartbeat.demand);
+  CHECK(read->state_revision == 4);
+  CHECK(read->state_era == 3);
   CHECK(read->is_ready);
   CHECK_FALSE(read->is_leaving);
   CHECK(rc::check([](const std::vector<uint8_t>& bytes) {
@@ -65,6 +68,7 @@
   heartbeat.incarnation = 1'780'000'000'000;
   heartbeat.sequence = 1ULL << 40;
   heartbeat.state_revision = 1LL << 40;
+  heartbeat.state_era = 1LL << 40;
   for (uint32_t i = 0; i < 500; ++i) {
     heartbeat.loads.emplace_back(0xffffff00 + i % 256, 100'000);
     heartbeat.demand.emplace_back(0xffffff00 + i % 256, 100'000);
@@ -81,11 +85,11 @@
   heartbeat.instance = "edge-1";
   heartbeat.server_limits = {{1, 2.0, absl::ZeroDuration()}};
   std::vector<uint8_t> encoded = heartbeat.Encode();
-  // The message is a short list whose last element is the list of limits.
+  // The message is a short list that ends with the limits and the era.
   constexpr uint8_t short_list = 0x90;
-  REQUIRE(encoded.front() == (short_list | 11));
-  constexpr size_t limits_bytes = 1 + 1 + 3 + 1;
-  encoded.resize(encoded.size() - limits_bytes);
+  REQUIRE(encoded.front() == (short_list | 12));
+  constexpr size_t limits_and_era_bytes = (1 + 1 + 3 + 1) + 1;
+  encoded.resize(encoded.size() - limits_and_era_bytes);
   encoded.front() = short_list | 10;
   const auto read = Heartbeat::Decode(encoded);
   REQUIRE(read.has_value());
--- a/test/platform_codec_test.cc
+++ b/test/platform_codec_test.cc
@@ -238,6 +238,25 @@
   CHECK(events.revision == 413);
 }
 
+// Guards against a restore of the store that is not noticed because the answer
+// is not the one to a read.
+TEST_CASE("the era of the store is read from all of its answers") {
+  for (const int status : {200, 404, 410, 412, 429, 503}) {
+    HttpResponse answer = MakeAnswer(status, "{}");
+    const auto era = [&answer] {
+      return DecodeStoreAnswer(control::StoreLeaseKeepAlive{1}, answer).era;
+    };
+    CHECK_FALSE(era().has_value());
+    answer.set("Store-Era", "12");
+    CHECK(era() == 12);
+    for (const char* invalid : {"", "0", "-3", "x", "1.5"}) {
+      CAPTURE(invalid);
+      answer.set("Store-Era", invalid);
+      CHECK_FALSE(era().has_value());
+    }
+  }
+}
+
 // Guards against notices of a server that are missed or misread: a pause
 // without end would exclude the server forever.
 TEST_CASE("the notices of a server are read from its answers") {
--- a/test/relay_codec_test.cc
+++ b/test/relay_codec_test.cc
@@ -81,6 +81,25 @@
   CHECK(refused.key_values.empty());
 }
 
+// Guards against followers that do not learn of a restore of the store, and
+// against instances of an earlier version, which do not send the era.
+TEST_CASE("the era of the store is passed on") {
+  control::StoreWatch watch;
+  watch.after_revision = 42;
+  watch.era = 3;
+  HttpRequest request = EncodeRelayRequest(watch);
+  CHECK(std::get<control::StoreWatch>(*DecodeRelayRequest(request)).era == 3);
+  request.erase("State-Era");
+  CHECK(std::get<control::StoreWatch>(*DecodeRelayRequest(request)).era == 0);
+  request.set("State-Era", "x");
+  CHECK_FALSE(DecodeRelayRequest(request).has_value());
+  StoreAnswer answer = MakeAnswer();
+  answer.era = 3;
+  CHECK(DecodeRelayAnswer(EncodeRelayAnswer(answer)).era == 3);
+  answer.era.reset();
+  CHECK_FALSE(DecodeRelayAnswer(EncodeRelayAnswer(answer)).era.has_value());
+}
+
 // Guards against an answer that was encoded for another call.
 TEST_CASE("an encoder repeats only the same answer") {
   RelayAnswerEncoder encoder;
--- a/test/shared_state_test.cc
+++ b/test/shared_state_test.cc
@@ -4,30 +4,12 @@
 #include <set>
 #include <utility>
 
+#include "control_fixture.h"
 #include "gateway/gateway.h"
 
 namespace baobabwall::gateway {
 namespace {
 
-using control::StoreAnswer;
-using control::StoreRequest;
-using control::StoreStatus;
-
-const absl::Time kStart = absl::FromUnixSeconds(1'000'000);
-
-StoreAnswer Ok(int64_t revision = 1) {
-  StoreAnswer answer;
-  answer.status = StoreStatus::kOk;
-  answer.revision = revision;
-  return answer;
-}
-
-StoreAnswer Failed(StoreStatus status) {
-  StoreAnswer answer;
-  answer.status = status;
-  return answer;
-}
-
 class ReaderFixture {
  public:
   ReaderFixture()
@@ -126,16 +108,6 @@
   CHECK(watch.timeout < absl::Seconds(1));
 }
 
-InstanceRecord Self() {
-  InstanceRecord record;
-  record.name = "self";
-  record.incarnation = 7;
-  record.zone = "a-1";
-  record.region = "a";
-  record.callers = {"10.0.0.1", 80};
-  return record;
-}
-
 // Guards against an instance that stays unregistered after its lease expired,
 // its record was removed, or the answer to its write was lost.
 TEST_CASE("an instance keeps its record registered") {
@@ -179,151 +151,6 @@
   }
 }
 
-InstanceRecord Second() {
-  InstanceRecord record = Self();
-  record.name = "two";
-  record.callers.address = "10.0.0.2";
-  record.peer_port = 90;
-  return record;
-}
-
-/// Returns the record of the only instance of its region.
-InstanceRecord Third() {
-  InstanceRecord record = Second();
-  record.name = "three";
-  record.region = "b";
-  record.callers.address = "10.0.0.3";
-  return record;
-}
-
-/// A GatewayControl whose store answers are supplied by the test.
-class ControlFixture {
- public:
-  ControlFixture()
-      : control(
-            Self(),
-            1,
-            {[this](const control::StoreKeyValue& item) {
-               return Decode(item);
-             },
-             [this](control::StoreCall call) {
-               calls.push_back(std::move(call));
-             },
-             [this](std::shared_ptr<const ControlView> published) {
-               view = std::move(published);
-             },
-             [](const std::string&) {},
-             [this](const Endpoint& peer, control::StoreCall call) {
-               peer_calls.emplace_back(peer, std::move(call));
-             },
-             [this](PeerCallId id, std::shared_ptr<const StoreAnswer> answer) {
-               peer_answers[id] = *answer;
-             },
-             [this](absl::string_view kind, control::StoreStatus) {
-               ++ended_calls[std::string(kind)];
-             }}) {}
-
-  /// Decodes the key "config" with a version as value, the key "crash", the
-  /// record keys of Second() and Third(), and server ids.
-  std::optional<StateChange> Decode(const control::StoreKeyValue& item) {
-    if (item.key == "config") {
-      RoutingConfig::Builder builder;
-      builder.Version(std::stoll(item.value));
-      return ConfigWritten{builder.Build()};
-    }
-    if (item.key == "crash") {
-      return CrashReported{0xabc, item.is_deleted};
-    }
-    if (const auto record = InstanceRecord::Decode(item.value)) {
-      return InstanceWritten{*record};
-    }
-    for (const InstanceRecord& record : {Second(), Third()}) {
-      if (item.key == record.Key()) {
-        return InstanceWritten{record};
-      }
-    }
-    if (item.is_deleted) {
-      return BackendRemoved{item.key};
-    }
-    BackendServer server;
-    server.id = item.key;
-    return BackendWritten{server};
-  }
-
-  /// \returns whether the call belongs to the reader of the state.
-  static bool IsRead(const control::StoreRequest& request) {
-    const auto* range = std::get_if<control::StoreRange>(&request);
-    return range == nullptr
-               ? std::holds_alternative<control::StoreWatch>(request)
-               : !range->allow_stale;
-  }
-
-  /// Answers the pending read or watch.
-  void AnswerReader(StoreAnswer answer, absl::Time now) {
-    control.OnTick(now);
-    AnswerInstanceRead(Failed(StoreStatus::kUnknown), now);
-    for (size_t i = 0; i < calls.size(); ++i) {
-      if (!IsRead(calls[i].request)) {
-        continue;
-      }
-      answer.id = calls[i].id;
-      calls.erase(calls.begin() + i);
-      control.OnStoreAnswer(answer, now);
-      return;
-    }
-    FAIL("no read is pending");
-  }
-
-  /// Answers the pending calls of the registration.
-  void AnswerRegistration(StoreAnswer answer, absl::Time now) {
-    std::vector<control::StoreCall> pending = std::exchange(calls, {});
-    for (control::StoreCall& call : pending) {
-      if (IsRead(call.request)) {
-        calls.push_back(std::move(call));
-        continue;
-      }
-      answer.id = call.id;
-      control.OnStoreAnswer(answer, now);
-    }
-  }
-
-  /// Answers the pending read of the instances' records, if there is one.
-  void AnswerInstanceRead(StoreAnswer answer, absl::Time now) {
-    for (size_t i = 0; i < calls.size(); ++i) {
-      const auto* range = std::get_if<control::StoreRange>(&calls[i].request);
-      if (range == nullptr || range->prefix != kInstancePrefix) {
-        continue;
-      }
-      answer.id = calls[i].id;
-      calls.erase(calls.begin() + static_cast<ptrdiff_t>(i));
-      control.OnStoreAnswer(answer, now);
-      return;
-    }
-  }
-
-  /// Answers the reads of the store's revision.
-  void AnswerProbes(int64_t revision, absl::Time now) {
-    std::vector<control::StoreCall> pending = std::exchange(calls, {});
-    for (control::StoreCall& call : pending) {
-      const auto* range = std::get_if<control::StoreRange>(&call.request);
-      if (range == nullptr || !range->allow_stale) {
-        calls.push_back(std::move(call));
-        continue;
-      }
-      StoreAnswer answer = Ok(revision);
-      answer.id = call.id;
-      control.OnStoreAnswer(answer, now);
-    }
-  }
-
-  std::vector<control::StoreCall> calls;
-  std::vector<std::pair<Endpoint, control::StoreCall>> peer_calls;
-  std::map<PeerCallId, StoreAnswer> peer_answers;
-  std::map<std::string, int> ended_calls;  ///< Number of ended calls by kind.
-  std::shared_ptr<const ControlView> view;
-  GatewayControl control;
-};
-
 // Guards against an instance that applies a configuration up to 25 s late: the
 // answer to its watch was lost, and no peer knows more (soak seed 236).
 TEST_CASE("a watch whose answer is lost is renewed without help of peers") {
@@ -395,7 +222,7 @@
     c.control.OnStoreAnswer(state, kStart);
     REQUIRE(c.view != nullptr);
     CHECK(c.view->config->version() == 7);
-    CHECK(c.view->revision == 9);
+    CHECK(c.view->position.revision == 9);
   }
   SECTION("the instance returns to a reader that has refused") {
     c.AnswerInstanceRead(LargeRegion(), kStart);
@@ -562,8 +389,9 @@
     now += absl::Milliseconds(200);
     c.control.OnTick(now);
     REQUIRE(c.peer_calls.size() == 2);
-    c.control.OnPeerRevision(20, now);
-    c.control.OnPeerRevision(20, now + GatewayControl::kMaxPeerRevisionLag);
+    c.control.OnPeerPosition({0, 20}, now);
+    c.control.OnPeerPosition({0, 20},
+                             now + GatewayControl::kMaxPeerRevisionLag);
     REQUIRE(c.peer_calls.size() == 3);
     CHECK(c.peer_calls[2].first == Endpoint{"10.0.0.3", 90});
   }
@@ -593,11 +421,11 @@
   };
   REQUIRE(watches() == 1);
   const control::StoreCallId lost_call_id = c.calls.back().id;
-  c.control.OnPeerRevision(5, kStart + absl::Seconds(9));
-  c.control.OnPeerRevision(8, kStart + absl::Seconds(10));
-  c.control.OnPeerRevision(8, kStart + absl::Seconds(11));
+  c.control.OnPeerPosition({0, 5}, kStart + absl::Seconds(9));
+  c.control.OnPeerPosition({0, 8}, kStart + absl::Seconds(10));
+  c.control.OnPeerPosition({0, 8}, kStart + absl::Seconds(11));
   CHECK(watches() == 1);
-  c.control.OnPeerRevision(8, kStart + absl::Seconds(11.3));
+  c.control.OnPeerPosition({0, 8}, kStart + absl::Seconds(11.3));
   CHECK(watches() == 2);
   StoreAnswer late = Ok(6);
   late.id = lost_call_id;
@@ -611,11 +439,11 @@
   CHECK(c.view->config->version() == 9);
   // Repeated short lags do not renew the watch.
   c.calls.clear();
-  c.control.OnPeerRevision(9, kStart + absl::Seconds(13));
+  c.control.OnPeerPosition({0, 9}, kStart + absl::Seconds(13));
   c.AnswerReader(Ok(9), kStart + absl::Seconds(13.5));
   c.control.OnTick(kStart + absl::Seconds(15));
   const auto before = watches();
-  c.control.OnPeerRevision(10, kStart + absl::Seconds(16));
+  c.control.OnPeerPosition({0, 10}, kStart + absl::Seconds(16));
   CHECK(watches() == before);
 }
 
@@ -630,17 +458,17 @@
   // Peers are always one batch ahead, but each revision is read in time.
   absl::Time now = kStart;
   for (int64_t revision = 6; revision < 16; ++revision) {
-    c.control.OnPeerRevision(revision, now);
-    c.control.OnPeerRevision(revision + 1, now + absl::Milliseconds(900));
+    c.control.OnPeerPosition({0, revision}, now);
+    c.control.OnPeerPosition({0, revision + 1}, now + absl::Milliseconds(900));
     c.AnswerReader(Ok(revision), now + absl::Milliseconds(950));
     now += absl::Seconds(1);
     c.control.OnTick(now);
     CHECK(c.view->freshness == ConfigFreshness::kCurrent);
   }
   // A renewed watch that is answered without the change does not help.
-  c.control.OnPeerRevision(20, now);
+  c.control.OnPeerPosition({0, 20}, now);
   c.calls.clear();  // The answer to the pending watch is lost.
-  c.control.OnPeerRevision(20, now + absl::Milliseconds(1250));
+  c.control.OnPeerPosition({0, 20}, now + absl::Milliseconds(1250));
   c.AnswerReader(Ok(16), now + absl::Milliseconds(1300));
   c.control.OnTick(now + absl::Milliseconds(1400));
   CHECK(c.view->freshness == ConfigFreshness::kCurrent);
--- a/test/store_restore_process_test.cc
+++ b/test/store_restore_process_test.cc
@@ -72,5 +72,28 @@
   CHECK(fixture.fleet.LogFindings().empty());
 }
 
+// Guards against running instances that lose each other, and against a watch at
+// the store that nobody answers any more.
+TEST_CASE("instances are registered again after a restore of the store") {
+  RestoreFixture fixture("restore-records");
+  PlatformStandin& platform = fixture.fleet.platform();
+  platform.SetStoreMode(StoreMode::kSilent);
+  // The copy is from before the instances were started.
+  platform.RestoreStore();
+  platform.SetStoreMode(StoreMode::kUp);
+  fixture.fleet.PutConfig(10);
+  // A new instance learns of the others only by their records.
+  fixture.fleet.Start("three", "a-2");
+  for (const char* instance : {"one", "two"}) {
+    CHECK(WaitFor([&] {
+      return absl::StrContains(
+          fixture.fleet.Log("three"),
+          absl::StrCat("peer: in use instance=", instance));
+    }));
+    CHECK(absl::StrContains(fixture.fleet.Log(instance), "store: restored"));
+  }
+  CHECK(fixture.fleet.LogFindings().empty());
+}
+
 }  // namespace
 }  // namespace baobabwall::test
