Backend client: an answer with an invalid status counts as broken off

Cause: the parser accepts any three digits as a status. Callers got answers with status 001, 099, 600 or 999, and none at all after 000, because the records use 0 for a caller that has left. Change: a status outside 100 to 599 ends the attempt like a truncated answer: retry if idempotent, 502 otherwise; the connection is closed. Three more forms of endless data in the tests of bounded answers, which pass without a change.

--- a/packages/edge/src/backend_client.cc
+++ b/packages/edge/src/backend_client.cc
@@ -277,7 +277,7 @@
     }
     const bool is_success = http::to_status_class(answer.result()) ==
                             http::status_class::successful;
-    if (is_success && !decoded.is_signed) {
+    if (!IsValidStatus(answer) || (is_success && !decoded.is_signed)) {
       Finish(AttemptResult::kTruncated);
       return;
     }
@@ -298,6 +298,14 @@
            std::move(answer));
   }
 
+  /// The parser accepts any three digits.
+  static bool IsValidStatus(const HttpResponse& answer) {
+    constexpr unsigned min_status = 100;
+    constexpr unsigned max_status = 599;
+    return answer.result_int() >= min_status &&
+           answer.result_int() <= max_status;
+  }
+
   /// A server that breaks off may have announced in the header that it leaves,
   /// or named a limit.
   void RecordNoticeOfPartialAnswer() {
--- a/test/backend_client_test.cc
+++ b/test/backend_client_test.cc
@@ -154,6 +154,8 @@
       {chunked, absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n")},
       {absl::StrCat(chunked, "1;extension=\""), data},
       {absl::StrCat(chunked, "0\r\nX-Trailer: "), data},
+      {absl::StrCat(chunked, "0\r\n"), "X-Trailer: some text\r\n"},
+      {"X-Request-Id: another\r\nContent-Length: 99999999999\r\n\r\n", data},
   };
   for (const auto& [begin, part] : answers) {
     INFO(begin << part.substr(0, 40));
@@ -174,6 +176,8 @@
 TEST_CASE("an attempt skips a bounded number of answers") {
   for (const std::string& part :
        {std::string("HTTP/1.1 103 Early Hints\r\n\r\n"),
+        absl::StrCat("HTTP/1.1 103 Early Hints\r\nX-Long: ",
+                     std::string(60'000, 'x'), "\r\n\r\n"),
         OkAnswer("id-of-another")}) {
     ClientFixture fixture([part](int socket, const std::string&) {
       while (send(socket, part.data(), part.size(), MSG_NOSIGNAL) > 0) {
@@ -405,6 +409,25 @@
   }
 }
 
+// Guards against a caller that gets an answer whose status is none: the server
+// was in trouble when it sent it.
+TEST_CASE("an answer with an invalid status is not delivered") {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(status);
+    ClientFixture fixture([status](int socket, const std::string& request) {
+      std::string answer = OkAnswer(RequestIdOf(request));
+      answer.replace(answer.find("200"), 3, status);
+      RawServer::Write(socket, answer);
+      return true;
+    });
+    const AttemptOutcome outcome = fixture.Send();
+    // The request may have run.
+    CHECK(outcome.end.result == AttemptResult::kTruncated);
+    CHECK_FALSE(outcome.answer.has_value());
+    CHECK(fixture.client.idle_connection_count() == 0);
+  }
+}
+
 // Guards against delivering a truncated answer as a complete answer.
 TEST_CASE("a truncated answer is not delivered") {
   ClientFixture fixture([](int socket, const std::string& request) {
