Planned stop: refuse requests that may outlast the process

Cause: in the first half of the grace period all requests were accepted, whatever time they needed. Callers of long requests got no answer at its end, also for bookings that had run. Change: non-idempotent requests are accepted only if their deadline is before the end of the process, idempotent ones if 1.25 times the longest recent answer of their route is left; others get 503 at once (reason stopping).

--- a/packages/ctl/src/trace.cc
+++ b/packages/ctl/src/trace.cc
@@ -35,6 +35,8 @@
     {"server-limit",
      "this instance's part of the request limit of a backend server was used "
      "up"},
+    {"stopping",
+     "the instance shuts down before the request would surely be answered"},
     {"no-server", "no backend server of the service is registered"},
     {"no-configuration",
      "the instance had not read the configuration: see `store: read`"},
--- a/packages/edge/src/traffic_loop.cc
+++ b/packages/edge/src/traffic_loop.cc
@@ -203,6 +203,8 @@
       return;
     }
     shutdown_start_ = transport::SteadyNow();
+    steering_.SetStopTime(shutdown_start_ + settings_.shutdown_grace -
+                          kKillTimeMargin);
     LOG(INFO) << "drain: leaving in_flight=" << steering_.in_flight()
               << " connections=" << caller_listener_.connection_count();
     caller_listener_.StartDraining();
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -101,6 +101,11 @@
     RefuseRequest(request, kHttpUnavailable, "crashes-servers", now, &actions);
     return actions;
   }
+  if (MayOutlastProcess(*request, now)) {
+    request->outlasts_process = true;
+    RefuseRequest(request, kHttpUnavailable, "stopping", now, &actions);
+    return actions;
+  }
   retry_allowance_.OnRequest(request->service, now);
   demand_meter_.OnRequest(request->service,
                           balancer_.WorkTimeOf(request->service, route).warm,
@@ -109,6 +114,28 @@
   return actions;
 }
 
+bool Steering::MayOutlastProcess(const Request& request, absl::Time now) const {
+  if (request.deadline <= stop_time_) {
+    return false;
+  }
+  if (!request.route->is_idempotent) {
+    return true;
+  }
+  const auto longest = longest_answer_by_route_.find(request.route->name);
+  const absl::Duration took = longest == longest_answer_by_route_.end()
+                                  ? request.route->latency_objective
+                                  : longest->second.took;
+  return now + took * kStopTimeFactor > stop_time_;
+}
+
+void Steering::RecordAnswerTime(const Request& request, absl::Time now) {
+  const absl::Duration took = now - request.caller.arrival;
+  LongestAnswer& longest = longest_answer_by_route_[request.route->name];
+  if (took >= longest.took || now - longest.at > kLongestAnswerAge) {
+    longest = {took, now};
+  }
+}
+
 PlacementQuery Steering::MakeQuery(const Request& request) {
   PlacementQuery query;
   query.route = request.route;
@@ -437,6 +464,7 @@
                        const AttemptEnd& end,
                        absl::Time now,
                        SteeringActions* actions) {
+  RecordAnswerTime(*request, now);
   actions->push_back(DeliverAnswer{request->caller.id, end.attempt});
   FinishRequest(request, end.status, kAnswered, absl::ZeroDuration(), now);
 }
@@ -467,6 +495,10 @@
   if (request.route == nullptr || request.needs_newer_config) {
     return kNoConfigRetryAfter;
   }
+  if (request.outlasts_process) {
+    // Other instances are available at once.
+    return absl::ZeroDuration();
+  }
   if (request.pause_end) {
     return *request.pause_end - now;
   }
--- a/packages/gateway/src/steering.h
+++ b/packages/gateway/src/steering.h
@@ -58,6 +58,12 @@
   static constexpr double kMaxRetryAfterFactor = 1.2;
   /// Retry-After time while this instance has no configuration.
   static constexpr absl::Duration kNoConfigRetryAfter = absl::Milliseconds(500);
+  /// While the process shuts down, an idempotent request is accepted if this
+  /// multiple of the route's longest recent answer time is left.
+  static constexpr double kStopTimeFactor = 1.25;
+  /// Time after which the longest answer time of a route is replaced by a
+  /// shorter one.
+  static constexpr absl::Duration kLongestAnswerAge = absl::Seconds(30);
   /// Bounds of the random time that is added to the pause that a server asked
   /// for: a fraction of the pause, and a maximum.
   static constexpr double kPauseSpreadRatio = 0.1;
@@ -111,6 +117,11 @@
   /// crash servers.
   void SetCrashReports(const std::set<uint64_t>& fingerprints, absl::Time now);
 
+  /// \brief Sets the time at which the process ends. New requests that may not
+  /// be answered by then are refused: all non-idempotent ones whose deadline is
+  /// later, and idempotent ones whose answer probably takes longer.
+  void SetStopTime(absl::Time stop_time) { stop_time_ = stop_time; }
+
   /// \brief Sets whether this instance may miss a newer configuration.
   void SetConfigFreshness(ConfigFreshness freshness) {
     config_freshness_ = freshness;
@@ -164,6 +175,12 @@
     bool was_cached = false;
   };
 
+  /// The longest answer time of a route, and when it was seen.
+  struct LongestAnswer {
+    absl::Duration took;
+    absl::Time at = absl::InfinitePast();
+  };
+
   struct BrokenAttempt {
     absl::Time started_at;
     absl::Time broken_at;
@@ -184,6 +201,7 @@
     absl::Time deadline;
     bool was_refused_before = false;
     bool may_have_run = false;
+    bool outlasts_process = false;
     bool is_caller_disconnected = false;
     int sent_attempts = 0;  ///< Number of attempts that reached a server.
     /// Number of attempts that did not reach a server.
@@ -206,6 +224,10 @@
              const Credentials& credentials,
              absl::Time now,
              SteeringActions* actions);
+  /// \returns whether the request may still be in progress when the process
+  /// ends.
+  bool MayOutlastProcess(const Request& request, absl::Time now) const;
+  void RecordAnswerTime(const Request& request, absl::Time now);
   static PlacementQuery MakeQuery(const Request& request);
   Placement Choose(const Request& request, absl::Time now);
   void Start(Request* request,
@@ -275,8 +297,10 @@
   absl::flat_hash_map<RequestId, std::unique_ptr<Request>> requests_;
   absl::flat_hash_map<AttemptId, RequestId> attempts_;
   absl::flat_hash_map<std::string, absl::Duration> max_time_left_by_route_;
+  absl::flat_hash_map<std::string, LongestAnswer> longest_answer_by_route_;
   AttemptId last_attempt_id_ = 0;
   absl::Time last_request_at_ = absl::InfinitePast();
+  absl::Time stop_time_ = absl::InfiniteFuture();
 };
 
 }  // namespace baobabwall::gateway
--- a/test/gateway_fleet.cc
+++ b/test/gateway_fleet.cc
@@ -26,11 +26,11 @@
 
 constexpr std::chrono::seconds kCallTimeout{8};
 
-json MakeRoute(const std::string& name, bool is_idempotent) {
+json MakeRoute(const std::string& name, bool is_idempotent, int timeout_ms) {
   return {{"name", name},
           {"prefix", absl::StrCat("/", name, "/")},
           {"route_type", is_idempotent ? "idempotent" : "non_idempotent"},
-          {"timeout_ms", 1500},
+          {"timeout_ms", timeout_ms},
           {"target_latency_ms", 400},
           {"priority", 1},
           {"service", "s"},
@@ -206,12 +206,14 @@
 }
 
 void GatewayFleet::PutConfig(int version, const ConfigLimits& limits) {
-  json paths = {MakeRoute("read", true), MakeRoute("book", false)};
+  const int timeout_ms = limits.route_timeout_ms;
+  json paths = {MakeRoute("read", true, timeout_ms),
+                MakeRoute("book", false, timeout_ms)};
   if (version >= 10) {
-    paths.push_back(MakeRoute("later", true));
+    paths.push_back(MakeRoute("later", true, timeout_ms));
   }
   if (!accounts_.empty()) {
-    paths.push_back(MakeRoute("open", true));
+    paths.push_back(MakeRoute("open", true, timeout_ms));
     paths.back()["public"] = true;
   }
   json config = {
--- a/test/gateway_fleet.h
+++ b/test/gateway_fleet.h
@@ -36,6 +36,7 @@
 struct ConfigLimits {
   int64_t max_body_bytes = 1 << 20;
   int idle_timeout_ms = 15000;
+  int route_timeout_ms = 1500;
 };
 
 /// \brief Runs real `baobabwalld --gateway` processes against a
--- a/test/steering_test.cc
+++ b/test/steering_test.cc
@@ -359,6 +359,34 @@
   CHECK(f.ServersOfNextRequests() == std::set<std::string>{server});
 }
 
+// Guards against requests that are cut at the end of a planned stop, and
+// against an instance that refuses short requests long before it.
+TEST_CASE("requests that may outlast the process are refused when it stops") {
+  Fixture f;
+  // The route's timeout is 1 s.
+  const absl::Time stop = f.now + absl::Milliseconds(1500);
+  f.steering.SetStopTime(stop);
+  const auto is_accepted = [&f](const char* path, RequestId id) {
+    const auto actions = f.Send(path, id);
+    if (Fixture::Find<StartAttempt>(actions) != nullptr) {
+      return true;
+    }
+    const Refuse* refuse = Fixture::Find<Refuse>(actions);
+    REQUIRE(refuse != nullptr);
+    CHECK(refuse->status == 503);
+    CHECK(refuse->reason == "stopping");
+    CHECK(refuse->retry_after == absl::ZeroDuration());
+    return false;
+  };
+  CHECK(is_accepted("/book/1", 1));
+  CHECK(is_accepted("/read/1", 2));
+  f.now = stop - absl::Milliseconds(900);
+  CHECK_FALSE(is_accepted("/book/1", 3));
+  CHECK(is_accepted("/read/1", 4));
+  f.now = stop - absl::Milliseconds(20);
+  CHECK_FALSE(is_accepted("/read/1", 5));
+}
+
 // Guards against a log that does not show why a request was not retried.
 TEST_CASE("the record of a request shows how each attempt was decided") {
   Fixture f;
