Soak: servers that name a limit, and restores of the store

Cause: neither a request limit of a server nor a restored store was among the faults of the soak. Change: two more kinds of faults, 19 in all; an oracle counts the requests of the instances that have passed on an answer with the limit.

--- a/test/gateway_soak.cc
+++ b/test/gateway_soak.cc
@@ -38,7 +38,7 @@
 ABSL_FLAG(bool, accounts, false, "whether callers present API keys");
 ABSL_FLAG(uint64_t,
           fault_kinds,
-          17,
+          19,
           "number of kinds of faults; a seed that failed with fewer kinds "
           "repeats its faults only with that number");
 
@@ -133,11 +133,13 @@
     CheckPipelinedRequests();
     CheckLeavingServers();
     CheckPauses();
+    CheckLimits();
     CheckLogs();
     std::cout << "requests=" << sent_requests_.size()
               << " pipelined=" << kept_answers
               << " leaving_checks=" << leaving_checks_
-              << " pause_checks=" << pause_checks_ << " faults=" << fault_count_
+              << " pause_checks=" << pause_checks_
+              << " limit_checks=" << limit_checks_ << " faults=" << fault_count_
               << " violations=" << violations_ << "\n";
     return violations_ == 0 ? 0 : 1;
   }
@@ -288,6 +290,12 @@
       case 16:
         StopUnderLoad(instance);
         break;
+      case 17:
+        NameLimit();
+        break;
+      case 18:
+        RestoreStore();
+        break;
       default: {
         const std::string& server =
             live_servers_[random_.Below(live_servers_.size())];
@@ -339,6 +347,35 @@
     fleet_.platform().SetFull(server, false);
   }
 
+  /// A server names a limit in its answers, or no longer does.
+  void NameLimit() {
+    const std::string server =
+        live_servers_[random_.Below(live_servers_.size())];
+    if (limited_servers_.erase(server) > 0) {
+      Print(absl::StrCat(server, " names no limit"));
+      fleet_.platform().SetRequestLimit(server, "");
+      return;
+    }
+    const double per_s = 0.5 * static_cast<double>(1 + random_.Below(16));
+    Print(absl::StrCat(server, " names a limit of ", per_s, " per second"));
+    limited_servers_.insert(server);
+    fleet_.platform().SetRequestLimit(server, absl::StrCat(per_s));
+  }
+
+  /// The store goes back to a copy that is some seconds old. The operators and
+  /// the servers write again what they wrote since.
+  void RestoreStore() {
+    Print("store restored from a copy");
+    fleet_.platform().SaveStore();
+    fleet_.PutConfig(++version_);
+    ReplaceBackend();
+    absl::SleepFor(absl::Milliseconds(500 + random_.Below(2500)));
+    fleet_.platform().RestoreStore();
+    absl::SleepFor(absl::Milliseconds(random_.Below(500)));
+    fleet_.platform().WriteServerEntriesAgain();
+    fleet_.PutConfig(version_);
+  }
+
   /// A planned stop, with further signals on the way.
   void StopUnderLoad(int instance) {
     Print(absl::StrCat("graceful shutdown with further signals ", instance));
@@ -524,6 +561,33 @@
                      refused.server, " in the pause after ", refused.id));
   }
 
+  /// Checks the requests of the instances that have passed on an answer with a
+  /// limit, and were not disturbed since.
+  void CheckLimits() {
+    std::map<std::string, ServerLimitOracle> oracles;
+    for (const BackendArrival& arrival : fleet_.platform().arrivals()) {
+      const std::optional<int> instance = InstanceOf(arrival.id);
+      const auto sent = sent_requests_.find(arrival.id);
+      if (!instance || cut_servers_.count(arrival.server) > 0) {
+        continue;
+      }
+      ServerLimitOracle& oracle = oracles[arrival.server];
+      const bool is_excused = WasDisturbed(
+          *instance, arrival.at - ServerLimitOracle::kWindow, arrival.at);
+      const std::string finding =
+          is_excused ? "" : oracle.OnArrival(*instance, arrival);
+      CheckGuarantee(finding.empty(), finding);
+      const bool is_told =
+          sent != sent_requests_.end() && sent->second.status == 200;
+      if (is_told && arrival.request_limit) {
+        oracle.OnTold(*instance, sent->second.answered_at);
+      }
+    }
+    for (const auto& [server, oracle] : oracles) {
+      limit_checks_ += oracle.check_count();
+    }
+  }
+
   void CheckLogs() {
     for (const std::string& finding : fleet_.LogFindings()) {
       CheckGuarantee(false, finding);
@@ -574,12 +638,14 @@
   int fault_count_ = 0;
   int leaving_checks_ = 0;
   int pause_checks_ = 0;
+  int limit_checks_ = 0;
   bool has_accounts_ = absl::GetFlag(FLAGS_accounts);
   AccountOracle account_oracle_;
   std::vector<std::unique_ptr<PipeliningCaller>> pipelining_callers_;
   Disturbances disturbances_;
   /// Servers whose connections were silent or delayed at some time.
   std::set<std::string> cut_servers_;
+  std::set<std::string> limited_servers_;  ///< Servers that name a limit.
   std::atomic<bool> is_stopping_{false};
   std::mutex mutex_;
   std::map<std::string, SentRequest> sent_requests_;
--- a/test/platform_standin.cc
+++ b/test/platform_standin.cc
@@ -91,6 +91,8 @@
   int port = 0;
   int announced_port = 0;
   bool is_draining = false;
+  bool is_crashed = false;
+  int sequence = 0;  ///< Number of changes of the entry in the store.
   bool is_full = false;
   bool announces_leaving = false;
   std::string retry_after;    ///< Of refusals; empty for none.
@@ -339,12 +341,28 @@
       {"capacity_slots", 5},
       {"state", backend.is_draining ? "draining" : "ready"},
       {"warmup_left_ms", 0},
-      {"sequence", 1},
+      {"sequence", backend.sequence},
       {"born", 1},
   };
   Put(absl::StrCat("servers/", backend.id), entry.dump());
 }
 
+void PlatformStandin::WriteServerEntriesAgain() {
+  std::vector<Backend*> backends;
+  RunOnLoop([&] {
+    for (const auto& [id, backend] : backends_) {
+      backends.push_back(backend.get());
+    }
+  });
+  for (const Backend* backend : backends) {
+    if (backend->is_crashed) {
+      Delete(absl::StrCat("servers/", backend->id));
+    } else {
+      PutServerEntry(*backend);
+    }
+  }
+}
+
 void PlatformStandin::AddBackend(const std::string& id,
                                  const std::string& service,
                                  const std::string& zone,
@@ -367,6 +385,7 @@
                   [](edge::ExchangeId) {}});
     backend->listener->Open(
         {"127.0.0.1", static_cast<uint16_t>(backend->port)});
+    ++backend->sequence;
     backends_[id] = std::move(new_backend);
   });
   PutServerEntry(*backend);
@@ -396,6 +415,10 @@
   arrival.server = backend->id;
   arrival.id = id;
   arrival.at = absl::Now();
+  double limit = 0;
+  if (absl::SimpleAtod(backend->request_limit, &limit)) {
+    arrival.request_limit = limit;
+  }
   arrival.credential_count =
       static_cast<int>(request.count(edge::http::field::authorization));
   const auto [first, last] = request.equal_range("X-Tenant");
@@ -445,6 +468,7 @@
   RunOnLoop([&] {
     backend = backends_.at(id).get();
     backend->is_draining = true;
+    ++backend->sequence;
   });
   PutServerEntry(*backend);
 }
@@ -452,6 +476,7 @@
 void PlatformStandin::Crash(const std::string& id) {
   RunOnLoop([&] {
     Backend* backend = backends_.at(id).get();
+    backend->is_crashed = true;
     backend->listener->StopAccepting();
     backend->listener->CloseAllConnections();
   });
--- a/test/platform_standin.h
+++ b/test/platform_standin.h
@@ -31,6 +31,8 @@
   absl::Time at;
   /// Pause that the server asked for when it refused the request.
   absl::Duration requested_pause;
+  /// Limit that the server named in its answer.
+  std::optional<double> request_limit;
   std::vector<std::string> accounts;  ///< All values of the account header.
   int credential_count = 0;           ///< Headers with a caller's credentials.
 };
@@ -78,6 +80,10 @@
     announced_port_ = std::move(announced);
   }
 
+  /// \brief Writes the entries of all servers that have one, as the servers do
+  /// after a restore of the store, and removes the others.
+  void WriteServerEntriesAgain();
+
   /// \brief Starts a backend server and registers the server in the store.
   /// \param work processing time of each request.
   void AddBackend(const std::string& id,
