--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -469,7 +469,10 @@
                              absl::Time now) const {
   const double slots = server.description->slots / server.load->Slowness(now);
   const std::optional<double> per_s = server_limits_.RatePerS(*server.load);
-  return per_s ? std::min(slots, *per_s * load.mean_work_s) : slots;
+  // Without a request, the work time is not known.
+  return per_s && load.mean_work_s > 0
+             ? std::min(slots, *per_s * load.mean_work_s)
+             : slots;
 }
 
 void Balancer::UpdatePlans(
--- a/packages/gateway/src/gateway_control.h
+++ b/packages/gateway/src/gateway_control.h
@@ -173,6 +173,11 @@
   void ForgetPendingCalls();
   /// \brief Writes the reports of this instance again.
   void RepeatCrashReports(absl::Time now);
+  /// \brief Removes the records of instances that a complete read did not
+  /// return; after a restore of the store, they are kept for a time.
+  void RemoveMissingRecords(const std::set<std::string>& existing_keys);
+  /// \returns the store's key of the report of a crashing request.
+  static std::string CrashKey(uint64_t fingerprint);
   /// \brief Removes what a restored store has not got back in time.
   void RemoveLostRecords();
   void PassOnAnswer(CallOwner owner,
@@ -235,7 +240,7 @@
   std::set<uint64_t> crashing_requests_;
   std::vector<uint64_t> crashing_requests_to_report_;
   /// Requests that this instance has reported, with the end of the report.
-  std::map<uint64_t, absl::Time> own_crash_reports_;
+  absl::flat_hash_map<uint64_t, absl::Time> own_crash_reports_;
   /// Crashing requests whose reports are missing in the restored store.
   std::set<uint64_t> missing_crash_reports_;
   absl::Time keep_crash_reports_until_ = absl::InfinitePast();
--- a/packages/gateway/src/steering.cc
+++ b/packages/gateway/src/steering.cc
@@ -114,28 +114,6 @@
   return actions;
 }
 
-bool Steering::MayOutlastProcess(const Request& request, absl::Time now) const {
-  if (request.deadline <= stop_time_) {
-    return false;
-  }
-  if (!request.route->is_idempotent) {
-    return true;
-  }
-  const auto longest = longest_answer_by_route_.find(request.route->name);
-  const absl::Duration took = longest == longest_answer_by_route_.end()
-                                  ? request.route->latency_objective
-                                  : longest->second.took;
-  return now + took * kStopTimeFactor > stop_time_;
-}
-
-void Steering::RecordAnswerTime(const Request& request, absl::Time now) {
-  const absl::Duration took = now - request.caller.arrival;
-  LongestAnswer& longest = longest_answer_by_route_[request.route->name];
-  if (took >= longest.took || now - longest.at > kLongestAnswerAge) {
-    longest = {took, now};
-  }
-}
-
 PlacementQuery Steering::MakeQuery(const Request& request) {
   PlacementQuery query;
   query.route = request.route;
--- a/packages/gateway/src/steering_admission.cc
+++ b/packages/gateway/src/steering_admission.cc
@@ -89,4 +89,26 @@
   hooks_.on_request_end(record);
 }
 
+bool Steering::MayOutlastProcess(const Request& request, absl::Time now) const {
+  if (request.deadline <= stop_time_) {
+    return false;
+  }
+  if (!request.route->is_idempotent) {
+    return true;
+  }
+  const auto longest = longest_answer_by_route_.find(request.route->name);
+  const absl::Duration took = longest == longest_answer_by_route_.end()
+                                  ? request.route->latency_objective
+                                  : longest->second.took;
+  return now + took * kStopTimeFactor > stop_time_;
+}
+
+void Steering::RecordAnswerTime(const Request& request, absl::Time now) {
+  const absl::Duration took = now - request.caller.arrival;
+  LongestAnswer& longest = longest_answer_by_route_[request.route->name];
+  if (took >= longest.took || now - longest.at > kLongestAnswerAge) {
+    longest = {took, now};
+  }
+}
+
 }  // namespace baobabwall::gateway
