--- a/packages/gateway/src/balancer.cc
+++ b/packages/gateway/src/balancer.cc
@@ -325,8 +325,11 @@
 double Balancer::ObjectShare(const PlacementContext& context,
                              const Server& server) const {
   const std::optional<double> per_s = server_limits_.RatePerS(*server.load);
+  if (!per_s) {
+    return 1;
+  }
   const auto load = service_loads_.find(context.query.service);
-  if (!per_s || load == service_loads_.end()) {
+  if (load == service_loads_.end()) {
     return 1;
   }
   const double others_slots =
